Lay out the workspace, the shared model and the style checks

Cause: the project is empty; every later part needs one build, one style and shared types. Change: a Maven workspace with one module per role, ktlint and detekt as the first modules of the build, the model, rendezvous hashing, the messages of the admission owner with a first reducer, and the store and VM-list ports. Conclusion: roles can now be built side by side in their own modules.

--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/Permit.kt
@@ -0,0 +1,9 @@
+package org.cicadaarch.admission
+
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Timestamp
+
+/**
+ * A granted permit: held by the ingress on router [holder] and lapsing at [lapsesAt].
+ */
+data class Permit(val holder: RouterId, val demand: PermitDemand, val lapsesAt: Timestamp)
--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetOwnership.kt
@@ -0,0 +1,20 @@
+package org.cicadaarch.admission
+
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.placement.RendezvousHash
+
+/**
+ * Assigns each target's admission owner among the live routers by rendezvous hashing.
+ */
+object TargetOwnership {
+    private const val KEY_PREFIX = "admission/"
+
+    /** The router that owns [target] in [view], or null when no router takes roles. */
+    fun ownerOf(target: TargetId, view: RouterView): RouterId? = RendezvousHash.first(
+        key = KEY_PREFIX + target.value,
+        members = view.roleHolders,
+        name = { it.id.value },
+    )?.id
+}
--- /dev/null
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -0,0 +1,20 @@
+package org.cicadaarch.experiment
+
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+
+private val experiments: List<Experiment> = listOf()
+
+/** Runs the experiment that the first argument names. */
+fun main(arguments: Array<String>) {
+    val experiment = experiments.firstOrNull { it.name == arguments.firstOrNull() }
+    if (experiment == null) {
+        System.err.println("usage: experiment COMMAND [OPTIONS]; commands:")
+        experiments.forEach { System.err.println("  ${it.name.padEnd(NAME_WIDTH)}${it.summary}") }
+        exitProcess(EXIT_USAGE)
+    }
+    exitProcess(experiment.run(arguments.drop(1)))
+}
+
+private const val NAME_WIDTH = 20
--- /dev/null
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/RegionName.kt
@@ -0,0 +1,14 @@
+package org.cicadaarch.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Names a region, a set of availability zones.
+ */
+@JvmInline
+@Serializable
+value class RegionName(val value: String) : Comparable<RegionName> {
+    override fun compareTo(other: RegionName): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/RouterAddress.kt
@@ -0,0 +1,11 @@
+package org.cicadaarch.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Where a router listens for other routers: TCP for messages and UDP for probes on the same [port] of [host].
+ */
+@Serializable
+data class RouterAddress(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+}
--- /dev/null
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/RouterId.kt
@@ -0,0 +1,14 @@
+package org.cicadaarch.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Identifies one router process; a restarted process has a new identity.
+ */
+@JvmInline
+@Serializable
+value class RouterId(val value: String) : Comparable<RouterId> {
+    override fun compareTo(other: RouterId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/TargetId.kt
@@ -0,0 +1,14 @@
+package org.cicadaarch.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Names one target, unique in the fleet document.
+ */
+@JvmInline
+@Serializable
+value class TargetId(val value: String) : Comparable<TargetId> {
+    override fun compareTo(other: TargetId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreResult.kt
@@ -0,0 +1,29 @@
+package org.cicadaarch.model.store
+
+import kotlin.time.Duration
+
+/**
+ * The answer to a [StoreCommand].
+ */
+sealed class StoreResult {
+    /** What was read, at the store's [revision]. */
+    data class Values(val values: List<StoredValue>, val revision: Long) : StoreResult()
+
+    /** The write took effect at [revision]. */
+    data class Written(val revision: Long) : StoreResult()
+
+    /** The write had no effect since the key is as [current], null when it does not exist. */
+    data class Conflict(val current: StoredValue?) : StoreResult()
+
+    /** The lease is held for [timeToLive] from when the command was sent. */
+    data class LeaseHeld(val lease: LeaseId, val timeToLive: Duration) : StoreResult()
+
+    /** The lease does not exist any more. */
+    data object LeaseLost : StoreResult()
+
+    /** The command did not reach the store or was refused by it: a write had no effect. */
+    data class Refused(val reason: String) : StoreResult()
+
+    /** No answer came: a write may have taken effect. */
+    data class Unanswered(val reason: String) : StoreResult()
+}
--- /dev/null
+++ b/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
@@ -0,0 +1,37 @@
+package org.cicadaarch.placement
+
+import kotlin.math.ln
+import net.openhft.hashing.LongHashFunction
+
+/**
+ * Weighted rendezvous hashing (highest random weight; Thaler and Ravishankar, 1998).
+ *
+ * Every router computes the same order from the same members. A member that joins or leaves moves only the keys that
+ * it gains or held.
+ */
+object RendezvousHash {
+    private val hashFunction = LongHashFunction.xx3()
+    private const val FRACTION_BITS = 53
+    private const val UNIT = 1.0 / (1L shl FRACTION_BITS)
+
+    /** The [members] ordered from best to worst for [key]; [name] and [weight] describe a member. */
+    fun <T> rank(key: String, members: Collection<T>, name: (T) -> String, weight: (T) -> Double = { 1.0 }): List<T> {
+        val keyHash = hashFunction.hashChars(key)
+        return members
+            .map { member -> member to score(keyHash, name(member), weight(member)) }
+            .sortedWith(compareByDescending<Pair<T, Double>> { it.second }.thenBy { name(it.first) })
+            .map { it.first }
+    }
+
+    /** The best of [members] for [key], or null when there are none. */
+    fun <T> first(key: String, members: Collection<T>, name: (T) -> String): T? {
+        val keyHash = hashFunction.hashChars(key)
+        return members.maxWithOrNull(compareBy<T> { score(keyHash, name(it), 1.0) }.thenBy { name(it) })
+    }
+
+    private fun score(keyHash: Long, name: String, weight: Double): Double {
+        val hash = LongHashFunction.xx3(keyHash).hashChars(name)
+        val fraction = ((hash ushr (Long.SIZE_BITS - FRACTION_BITS)) + 1) * UNIT
+        return -weight / ln(fraction.coerceAtMost(1.0 - UNIT))
+    }
+}
