Add the ingress reducer, the joined reducer and the router protocol

Cause: a request needs one place that owns its outcome, and the roles one reducer over all events. Measured: 23 tests, tables of cases, all pass; nothing runs over sockets yet. Conclusion: the shell can be written against the effects.

--- /dev/null
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
@@ -0,0 +1,31 @@
+package org.cicadaarch.core
+
+import org.cicadaarch.model.Revision
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.request.IngressEvent
+
+/**
+ * All that can happen to a router.
+ */
+sealed class RouterEvent {
+    /** Something happened to a request at this ingress. */
+    data class Ingress(val event: IngressEvent) : RouterEvent()
+
+    /** [message] came from router [from]. */
+    data class PeerMessageReceived(val from: RouterId, val message: PeerMessage) : RouterEvent()
+
+    /** The list of live routers changed. */
+    data class RoutersChanged(val view: RouterView) : RouterEvent()
+
+    /** The document of [revision] came into force. */
+    data class FleetChanged(val revision: Revision, val fleet: FleetDocument) : RouterEvent()
+
+    /** A target reported its load, some time ago. */
+    data class LoadReported(val target: TargetId, val running: Int, val waiting: Int) : RouterEvent()
+
+    /** The periodic tick, every [RouterReducer.TICK_INTERVAL]. */
+    data object Tick : RouterEvent()
+}
--- /dev/null
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -0,0 +1,120 @@
+package org.cicadaarch.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.cicadaarch.admission.AdmissionEffect
+import org.cicadaarch.admission.AdmissionEvent
+import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.admission.AdmissionReducer
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.request.IngressEffect
+import org.cicadaarch.request.IngressEvent
+import org.cicadaarch.request.IngressReducer
+
+/**
+ * The one reducer over all events of a router. It hands each event to the roles that it concerns and carries messages
+ * between roles of the same router without the network.
+ */
+class RouterReducer(
+    private val ingressReducer: IngressReducer = IngressReducer(),
+    private val admissionReducer: AdmissionReducer = AdmissionReducer(),
+) {
+    /** The state and the effects after [event] at [now]. */
+    fun reduce(state: RouterState, event: RouterEvent, now: Timestamp): Step<RouterState, RouterEffect> {
+        val transition = RouterTransition(state, now)
+        when (event) {
+            is RouterEvent.Ingress -> transition.reduceIngress(event.event)
+
+            is RouterEvent.PeerMessageReceived -> transition.receive(event.from, event.message)
+
+            is RouterEvent.RoutersChanged -> transition.routersChanged(event)
+
+            is RouterEvent.FleetChanged -> transition.fleetChanged(event)
+
+            is RouterEvent.LoadReported -> transition.reduceAdmission(
+                AdmissionEvent.LoadReported(event.target, event.running, event.waiting),
+            )
+
+            RouterEvent.Tick -> {
+                transition.reduceAdmission(AdmissionEvent.Tick)
+                transition.reduceIngress(IngressEvent.Tick)
+            }
+        }
+        return transition.step()
+    }
+
+    private inner class RouterTransition(private var state: RouterState, private val now: Timestamp) {
+        private val effects = mutableListOf<RouterEffect>()
+
+        fun step(): Step<RouterState, RouterEffect> = Step(state, effects)
+
+        fun receive(from: RouterId, message: PeerMessage) {
+            when (message) {
+                is PeerMessage.ToAdmissionOwner -> reduceAdmission(AdmissionEvent.Received(from, message.message))
+                is PeerMessage.ToIngress -> reduceIngress(IngressEvent.PermitAnswered(message.message))
+                is PeerMessage.Hello, is PeerMessage.Heartbeat -> Unit
+            }
+        }
+
+        fun routersChanged(event: RouterEvent.RoutersChanged) {
+            state = state.copy(view = event.view)
+            reduceAdmission(AdmissionEvent.RoutersChanged(event.view))
+            reduceIngress(IngressEvent.RoutersChanged(event.view))
+        }
+
+        fun fleetChanged(event: RouterEvent.FleetChanged) {
+            if (event.revision <= state.revision) return
+            state = state.copy(revision = event.revision)
+            reduceAdmission(AdmissionEvent.FleetChanged(event.fleet))
+            reduceIngress(IngressEvent.FleetChanged(event.fleet))
+        }
+
+        fun reduceIngress(event: IngressEvent) {
+            val step = ingressReducer.reduce(state.ingress, event, now)
+            state = state.copy(ingress = step.state)
+            step.effects.forEach(::carryOut)
+        }
+
+        fun reduceAdmission(event: AdmissionEvent) {
+            val step = admissionReducer.reduce(state.admission, event, now)
+            state = state.copy(admission = step.state)
+            step.effects.forEach(::carryOut)
+        }
+
+        private fun carryOut(effect: IngressEffect) {
+            when (effect) {
+                is IngressEffect.SendToOwner -> sendToOwner(effect.to, effect.message)
+                else -> effects += RouterEffect.Ingress(effect)
+            }
+        }
+
+        private fun carryOut(effect: AdmissionEffect) {
+            when (effect) {
+                is AdmissionEffect.Send -> sendToIngress(effect.to, effect.message)
+            }
+        }
+
+        private fun sendToOwner(to: RouterId, message: AdmissionMessage) {
+            if (to == state.view.self) {
+                reduceAdmission(AdmissionEvent.Received(to, message))
+            } else {
+                effects += RouterEffect.SendToPeer(to, PeerMessage.ToAdmissionOwner(message))
+            }
+        }
+
+        private fun sendToIngress(to: RouterId, message: AdmissionMessage) {
+            if (to == state.view.self) {
+                reduceIngress(IngressEvent.PermitAnswered(message))
+            } else {
+                effects += RouterEffect.SendToPeer(to, PeerMessage.ToIngress(message))
+            }
+        }
+    }
+
+    companion object {
+        /** The time between two ticks. */
+        val TICK_INTERVAL: Duration = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/ClaimVerdict.kt
@@ -0,0 +1,17 @@
+package org.cicadaarch.request
+
+import org.cicadaarch.model.Outcome
+
+/**
+ * The ledger's answer to the claim of an idempotency key.
+ */
+sealed class ClaimVerdict {
+    /** The key belongs to this request from now on. */
+    data object Granted : ClaimVerdict()
+
+    /** Another request holds the key; [outcome] is how it ended, null while it runs. */
+    data class Taken(val outcome: Outcome?) : ClaimVerdict()
+
+    /** The ledger could not record the claim and never will for this request. */
+    data object Unavailable : ClaimVerdict()
+}
--- /dev/null
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressState.kt
@@ -0,0 +1,26 @@
+package org.cicadaarch.request
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.fleet.FleetDocument
+
+/**
+ * The open requests of one router. [retryBudget] is the number of retries that may be made now; [localGrants] counts
+ * the running requests of each target that have no permit.
+ */
+data class IngressState(
+    val view: RouterView,
+    val fleet: FleetDocument? = null,
+    val requests: PersistentMap<RequestId, OpenRequest> = persistentMapOf(),
+    val localGrants: PersistentMap<TargetId, Int> = persistentMapOf(),
+    val retryBudget: Double = INITIAL_RETRY_BUDGET,
+    val renewedAt: Timestamp = Timestamp(0),
+) {
+    private companion object {
+        const val INITIAL_RETRY_BUDGET = 10.0
+    }
+}
--- /dev/null
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
@@ -0,0 +1,44 @@
+package org.cicadaarch.request
+
+import org.cicadaarch.admission.PermitDemand
+import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.RequestHead
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.Timestamp
+
+/**
+ * A request that its ingress has not finished.
+ *
+ * [attempts] counts permit requests, [started] the attempts that were offered to a target without proof that they did
+ * not run. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
+ */
+data class OpenRequest(
+    val head: RequestHead,
+    val arrivedAt: Timestamp,
+    val phase: RequestPhase,
+    val candidates: List<TargetId> = emptyList(),
+    val failedTargets: Set<TargetId> = emptySet(),
+    val attempts: Int = 0,
+    val started: Int = 0,
+    val crashes: Int = 0,
+    val delivered: Int = 0,
+    val answerBegun: Boolean = false,
+) {
+    /** When the first byte of the answer is due. */
+    val deadline: Timestamp get() = arrivedAt + head.timeAllowed
+
+    /** True when the request may be offered to a target again although an attempt may have run. */
+    val mayRepeat: Boolean get() = head.idempotency is Idempotency.Idempotent
+
+    /** What an admission owner is told of this request at [now] when it asks for [target]. */
+    fun demand(target: TargetId, home: TargetId?, now: Timestamp): PermitDemand = PermitDemand(
+        account = head.account,
+        chat = head.chat,
+        priority = head.priority,
+        timeAllowed = deadline - now,
+        promptTokens = head.promptTokens,
+        outputTokens = head.outputTokens,
+        home = target == home,
+        returning = (head.turn ?: 1) > 1,
+    )
+}
--- /dev/null
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/RequestPhase.kt
@@ -0,0 +1,35 @@
+package org.cicadaarch.request
+
+import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Where an open request stands.
+ */
+sealed class RequestPhase {
+    /** Waits for the ledger to record its claim. */
+    data object Claiming : RequestPhase()
+
+    /** Waits until [until] before it asks all targets again. */
+    data class BackingOff(val until: Timestamp) : RequestPhase()
+
+    /** Asked [owner] for a permit on [target]; an answer is due at [answerDueAt], none is expected while queued. */
+    data class Seeking(
+        val attempt: AttemptId,
+        val target: TargetId,
+        val owner: RouterId,
+        val answerDueAt: Timestamp,
+        val queued: Boolean = false,
+    ) : RequestPhase()
+
+    /** Runs on [target]; [owner] is null when it runs on this router's local budget. */
+    data class Running(
+        val attempt: AttemptId,
+        val target: TargetId,
+        val owner: RouterId?,
+        val lastProgressAt: Timestamp,
+        val probe: ProbeState = ProbeState.NOT_SENT,
+    ) : RequestPhase()
+}
--- /dev/null
+++ b/cicadaarch-request/src/test/kotlin/org/cicadaarch/request/IngressReducerTest.kt
@@ -0,0 +1,209 @@
+package org.cicadaarch.request
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.IdempotencyKey
+import org.cicadaarch.model.Outcome
+import org.cicadaarch.model.Priority
+import org.cicadaarch.model.ServiceName
+import org.cicadaarch.request.IngressFixture.Companion.REQUEST
+import org.cicadaarch.request.IngressFixture.Companion.head
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+
+class IngressReducerTest {
+    private val keyed = Idempotency.Keyed(IdempotencyKey("booking-7"))
+
+    @Test
+    fun `Given a permit, when the target answers whole, then the request completes once and frees the permit`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val started = fixture.grant()
+        fixture.send(IngressEvent.AnswerBegun(started.attempt))
+        fixture.send(IngressEvent.AttemptCompleted(started.attempt))
+        assertEquals(IngressEffect.EndRequest(REQUEST, Outcome.COMPLETED, null), fixture.ending())
+        assertTrue(fixture.released(started))
+        assertTrue(fixture.state.requests.isEmpty())
+        assertTrue(fixture.send(IngressEvent.AttemptCompleted(started.attempt)).isEmpty())
+    }
+
+    @ParameterizedTest
+    @MethodSource("refusalsAtArrival")
+    fun `Given a request that must not run, when it arrives, then it is refused as not-run`(
+        priority: Priority,
+        service: String,
+        reason: RefusalReason,
+    ) {
+        val fixture = IngressFixture()
+        fixture.send(IngressEvent.Arrived(head(priority = priority, service = ServiceName(service))))
+        assertEquals(listOf(IngressEffect.EndRequest(REQUEST, Outcome.NOT_RUN, reason)), fixture.effects)
+    }
+
+    @ParameterizedTest
+    @MethodSource("failures")
+    fun `Given a running request, when its attempt fails, then what follows depends on what may have run`(
+        idempotency: Idempotency,
+        failure: AttemptFailure,
+        expected: Outcome?,
+    ) {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head(idempotency))) }
+        if (idempotency is Idempotency.Keyed) {
+            fixture.send(IngressEvent.ClaimAnswered(REQUEST, ClaimVerdict.Granted))
+        }
+        val started = fixture.grant()
+        fixture.fail(started.attempt, failure)
+        assertEquals(expected, fixture.ending()?.outcome)
+        if (expected == null) assertNotEquals(started.target, fixture.permitRequest().target)
+    }
+
+    @Test
+    fun `Given an owner that does not answer, when the permit is overdue, then the local budget is spent once`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val started = fixture.tickAfter(300.milliseconds).filterIsInstance<IngressEffect.StartAttempt>()
+        assertEquals(1, started.size)
+        assertEquals(1, fixture.state.localGrants[started.single().target])
+        fixture.send(IngressEvent.AttemptCompleted(started.single().attempt))
+        assertTrue(fixture.state.localGrants.isEmpty())
+    }
+
+    @Test
+    fun `Given a withdrawn attempt, when its permit comes late, then the permit is given back`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val request = fixture.permitRequest()
+        fixture.tickAfter(300.milliseconds)
+        val late = AdmissionMessage.PermitGranted(request.attempt, request.target, 10.seconds)
+        val effects = fixture.send(IngressEvent.PermitAnswered(late))
+        assertEquals(
+            listOf(AdmissionMessage.PermitReleased(request.attempt, request.target)),
+            effects.map { (it as IngressEffect.SendToOwner).message },
+        )
+    }
+
+    @Test
+    fun `Given every target spills, when the deadline passes, then the request is refused as not-run`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        repeat(3) { fixture.spill() }
+        assertNull(fixture.ending())
+        fixture.tickAfter(2.seconds)
+        assertEquals(IngressEffect.EndRequest(REQUEST, Outcome.NOT_RUN, RefusalReason.LATE), fixture.ending())
+    }
+
+    @Test
+    fun `Given a broken stream, when a target resumes streams, then it goes on after the delivered events`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val first = fixture.grant()
+        fixture.send(IngressEvent.AnswerBegun(first.attempt))
+        fixture.fail(first.attempt, AttemptFailure.ConnectionLost, delivered = 17)
+        assertEquals(17, fixture.grant().resumeAfter)
+    }
+
+    @Test
+    fun `Given a broken stream, when no target resumes streams, then it ends as may-have-run`() {
+        val fixture = IngressFixture(resumesStreams = false).apply { send(IngressEvent.Arrived(head())) }
+        val first = fixture.grant()
+        fixture.send(IngressEvent.AnswerBegun(first.attempt))
+        fixture.fail(first.attempt, AttemptFailure.ConnectionLost, delivered = 17)
+        assertEquals(Outcome.MAY_HAVE_RUN, fixture.ending()?.outcome)
+    }
+
+    @Test
+    fun `Given a request that crashes targets, when the limit is reached, then it is not run again`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        fixture.fail(fixture.grant().attempt, AttemptFailure.ConnectionLost)
+        fixture.fail(fixture.grant().attempt, AttemptFailure.ConnectionLost)
+        assertEquals(RefusalReason.CRASHES_TARGETS, fixture.ending()?.reason)
+    }
+
+    @Test
+    fun `Given a silent target, when the probe fails, then the attempt is cancelled and the request goes on`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val started = fixture.grant()
+        fixture.send(IngressEvent.AnswerBegun(started.attempt))
+        assertEquals(
+            listOf(IngressEffect.ProbeTarget(started.attempt, started.target)),
+            fixture.tickAfter(3.seconds).filterIsInstance<IngressEffect.ProbeTarget>(),
+        )
+        fixture.send(IngressEvent.ProbeAnswered(started.attempt, alive = false))
+        assertTrue(IngressEffect.CancelAttempt(started.attempt) in fixture.effects)
+        assertNotEquals(started.target, fixture.permitRequest().target)
+    }
+
+    @Test
+    fun `Given a slow target that answers probes, when progress resumes, then the attempt is kept`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val started = fixture.grant()
+        fixture.send(IngressEvent.AnswerBegun(started.attempt))
+        fixture.tickAfter(3.seconds)
+        fixture.send(IngressEvent.ProbeAnswered(started.attempt, alive = true))
+        fixture.tickAfter(2.seconds)
+        fixture.send(IngressEvent.Progressed(started.attempt, delivered = 1))
+        fixture.tickAfter(2.seconds)
+        assertTrue(fixture.effects.none { it is IngressEffect.CancelAttempt })
+    }
+
+    @Test
+    fun `Given a running request, when its caller goes, then the target's work is cancelled`() {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head())) }
+        val started = fixture.grant()
+        fixture.send(IngressEvent.CallerGone(REQUEST))
+        assertTrue(IngressEffect.CancelAttempt(started.attempt) in fixture.effects)
+        assertTrue(fixture.released(started))
+    }
+
+    @ParameterizedTest
+    @MethodSource("claimVerdicts")
+    fun `Given a keyed request, when the ledger answers, then nothing runs without a granted claim`(
+        verdict: ClaimVerdict,
+        expected: Outcome?,
+    ) {
+        val fixture = IngressFixture().apply { send(IngressEvent.Arrived(head(keyed))) }
+        assertTrue(fixture.effects.single() is IngressEffect.Claim)
+        fixture.send(IngressEvent.ClaimAnswered(REQUEST, verdict))
+        assertEquals(expected, fixture.ending()?.outcome)
+    }
+
+    private fun IngressFixture.released(started: IngressEffect.StartAttempt): Boolean = effects.any {
+        it is IngressEffect.SendToOwner &&
+            it.message == AdmissionMessage.PermitReleased(started.attempt, started.target)
+    }
+
+    private companion object {
+        @JvmStatic
+        fun refusalsAtArrival(): List<Arguments> = listOf(
+            arguments(Priority.BATCH, "model", RefusalReason.PRIORITY_NOT_ADMITTED),
+            arguments(Priority.STANDARD, "unknown", RefusalReason.UNKNOWN_SERVICE),
+        )
+
+        @JvmStatic
+        fun failures(): List<Arguments> {
+            val keyed = Idempotency.Keyed(IdempotencyKey("booking-7"))
+            val lost = AttemptFailure.ConnectionLost
+            return listOf(
+                arguments(Idempotency.Idempotent, AttemptFailure.NotConnected, null),
+                arguments(Idempotency.Idempotent, AttemptFailure.Rejected(status = 503), null),
+                arguments(Idempotency.Idempotent, lost, null),
+                arguments(keyed, AttemptFailure.NotConnected, null),
+                arguments(keyed, AttemptFailure.Rejected(status = 503), null),
+                arguments(keyed, lost, Outcome.MAY_HAVE_RUN),
+                arguments(Idempotency.Keyless, AttemptFailure.NotConnected, null),
+                arguments(Idempotency.Keyless, lost, Outcome.MAY_HAVE_RUN),
+            )
+        }
+
+        @JvmStatic
+        fun claimVerdicts(): List<Arguments> = listOf(
+            arguments(ClaimVerdict.Granted, null),
+            arguments(ClaimVerdict.Taken(outcome = null), Outcome.ALREADY_RUN),
+            arguments(ClaimVerdict.Taken(Outcome.COMPLETED), Outcome.ALREADY_RUN),
+            arguments(ClaimVerdict.Unavailable, Outcome.NOT_RUN),
+        )
+    }
+}
