--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Dissemination.kt
@@ -0,0 +1,48 @@
+package org.cicadaarch.membership
+
+import kotlin.math.ceil
+import kotlin.math.log2
+import org.cicadaarch.model.RouterId
+
+/**
+ * Spreads updates on the messages that are sent anyway, each a bounded number of times and the least sent first.
+ */
+internal class Dissemination(private val settings: MembershipSettings) {
+    /** The state in which [update] replaces any queued update on the same router. */
+    fun queued(state: MembershipState, update: MemberUpdate): MembershipState =
+        state.copy(updates = state.updates.put(update.id, QueuedUpdate(update)))
+
+    /** The updates that fit in [bytes], without one on [except], and the state that has counted them as sent. */
+    fun take(state: MembershipState, bytes: Int, except: RouterId?): Pair<MembershipState, List<MemberUpdate>> {
+        if (state.updates.isEmpty()) return state to emptyList()
+        val chosen = fitting(state.updates.values.filter { it.update.id != except }.sortedWith(LEAST_SENT_FIRST), bytes)
+        return state.copy(updates = counted(state, chosen)) to chosen.map { it.update }
+    }
+
+    private fun fitting(candidates: List<QueuedUpdate>, bytes: Int): List<QueuedUpdate> {
+        var left = bytes
+        return candidates.takeWhile { candidate ->
+            left -= PacketSize.of(candidate.update)
+            left >= 0
+        }
+    }
+
+    private fun counted(state: MembershipState, chosen: List<QueuedUpdate>) = state.updates.builder().also { updates ->
+        val limit = transmissionLimit(state.table.size)
+        chosen.forEach { sent ->
+            if (sent.transmissions + 1 >= limit) {
+                updates.remove(sent.update.id)
+            } else {
+                updates[sent.update.id] = sent.copy(transmissions = sent.transmissions + 1)
+            }
+        }
+    }.build()
+
+    private fun transmissionLimit(members: Int): Int =
+        settings.disseminationMultiplier * ceil(log2(members + 2.0)).toInt()
+
+    private companion object {
+        /** Departures go first, so that the next process at the same address meets no conflict. */
+        val LEAST_SENT_FIRST = compareBy<QueuedUpdate>({ it.transmissions }, { it.update.status }, { it.update.id })
+    }
+}
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
@@ -0,0 +1,87 @@
+package org.cicadaarch.membership
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.model.Revision
+import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterInfo
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.Timestamp
+
+/**
+ * The membership as one router sees it.
+ *
+ * [members] are all routers that answer probes, with those under suspicion. [steady] are the members fit for roles: a
+ * router that was removed as unreachable stays out of it until it has been a member for the steady period again. The
+ * [view] lists [self] and the steady members as of the last tick.
+ */
+@ConsistentCopyVisibility
+data class MembershipState internal constructor(
+    val self: RouterInfo,
+    val incarnation: Long,
+    val revision: Revision,
+    val view: RouterView,
+    internal val schedule: Schedule,
+    internal val table: MemberTable = MemberTable(),
+    internal val viewedTable: MemberTable = table,
+    internal val viewChangesAt: Timestamp? = null,
+    internal val changedAt: Timestamp = schedule.lastTick,
+    internal val tombstones: PersistentMap<RouterId, Tombstone> = persistentMapOf(),
+    internal val removals: PersistentMap<RouterAddress, RemovalHistory> = persistentMapOf(),
+    internal val suspicions: PersistentMap<RouterId, Timestamp> = persistentMapOf(),
+    internal val revisions: PersistentMap<RouterId, Revision> = persistentMapOf(),
+    internal val workingHelpers: PersistentMap<RouterId, RouterAddress> = persistentMapOf(),
+    internal val updates: PersistentMap<RouterId, QueuedUpdate> = persistentMapOf(),
+    internal val probes: PersistentMap<Int, Probe> = persistentMapOf(),
+    internal val relays: PersistentMap<Int, Relay> = persistentMapOf(),
+    internal val probeOrder: PersistentList<RouterId> = persistentListOf(),
+    internal val probePosition: Int = 0,
+    internal val doubtful: PersistentList<RouterId> = persistentListOf(),
+    internal val contacts: PersistentList<RouterAddress> = persistentListOf(),
+    internal val list: PersistentMap<RouterAddress, ListedVm> = persistentMapOf(),
+    internal val viewedList: PersistentMap<RouterAddress, ListedVm> = list,
+    internal val sync: SyncProgress = SyncProgress(),
+    internal val health: Int = 0,
+    internal val sequence: Int = 0,
+    internal val departed: Boolean = false,
+) {
+    /** All members by identity, without this router. */
+    val members: Map<RouterId, RouterInfo> get() = table.members.mapValues { it.value.info }
+
+    /** The members fit for roles as of the last tick, without this router. */
+    val steady: Set<RouterId> get() = view.routers.keys - self.id
+
+    /** The members that did not answer and may still refute. */
+    val suspected: Set<RouterId> get() = suspicions.keys
+
+    /** The members that only helpers can reach. */
+    val reachedByHelpersOnly: Set<RouterId> get() = workingHelpers.keys
+
+    /** The configuration that each member last told of, where it did. */
+    val installedRevisions: Map<RouterId, Revision> get() = revisions
+
+    /** The local health score; 0 is healthy, and each point stretches all timeouts by their base value. */
+    val healthScore: Int get() = health
+
+    companion object {
+        /** A process that starts as [self] at [now] and knows nobody. */
+        fun initial(self: RouterInfo, now: Timestamp, revision: Revision = Revision.NONE): MembershipState =
+            MembershipState(
+                self = self,
+                incarnation = 0,
+                revision = revision,
+                view = RouterView(self.id, mapOf(self.id to self)),
+                schedule = Schedule(
+                    lastTick = now,
+                    probe = now,
+                    contact = now,
+                    listFetch = now,
+                    cleanup = now,
+                    sync = now,
+                ),
+            )
+    }
+}
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/PacketSize.kt
@@ -0,0 +1,30 @@
+package org.cicadaarch.membership
+
+import org.cicadaarch.model.RouterAddress
+
+/**
+ * Upper bounds, in bytes, of the encoded parts of a message; names are counted at their length in UTF-8.
+ */
+internal object PacketSize {
+    private const val PROFILE_BYTES = 32
+    private const val UPDATE_BYTES = 26
+    private const val HEAD_BYTES = 64
+    private const val ADDRESS_BYTES = 12
+    private const val ASCII_LIMIT = 0x80
+
+    /** Bytes of the message's own fields with [sender], without lists. */
+    fun ofHead(sender: Sender): Int = HEAD_BYTES + textBytes(sender.id.value) + ofProfile(sender.profile)
+
+    /** Bytes of [update] in a list. */
+    fun of(update: MemberUpdate): Int =
+        UPDATE_BYTES + textBytes(update.id.value) + (update.profile?.let(::ofProfile) ?: 0)
+
+    /** Bytes of the fields that hold [address]. */
+    fun ofAddress(address: RouterAddress): Int = ADDRESS_BYTES + textBytes(address.host)
+
+    private fun ofProfile(profile: MemberProfile): Int =
+        PROFILE_BYTES + textBytes(profile.host) + textBytes(profile.zone.value) + textBytes(profile.region.value)
+
+    private fun textBytes(text: String): Int =
+        if (text.all { it.code < ASCII_LIMIT }) text.length else text.encodeToByteArray().size
+}
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Probe.kt
@@ -0,0 +1,18 @@
+package org.cicadaarch.membership
+
+import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Timestamp
+
+/**
+ * A probe without an answer yet. [target] is null when it is not known who listens at [address].
+ *
+ * [helpersAsked] is 0 while the probe is direct; [helpersAnswered] counts the helpers that did not reach the target.
+ */
+internal data class Probe(
+    val target: RouterId?,
+    val address: RouterAddress,
+    val deadline: Timestamp,
+    val helpersAsked: Int = 0,
+    val helpersAnswered: Int = 0,
+)
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Registry.kt
@@ -0,0 +1,102 @@
+package org.cicadaarch.membership
+
+import kotlin.time.Duration
+import org.cicadaarch.membership.MembershipEffect.MemberJoined
+import org.cicadaarch.membership.MembershipEffect.MemberRemoved
+import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.RouterInfo
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Adds members to the table and takes them out, keeping tombstones and the history of removals.
+ */
+internal class Registry(private val settings: MembershipSettings, private val dissemination: Dissemination) {
+    /** Adds the router [info]; [spread] tells others of it. */
+    fun join(
+        state: MembershipState,
+        info: RouterInfo,
+        incarnation: Long,
+        spread: Boolean,
+        now: Timestamp,
+    ): MembershipStep {
+        val member = Member(info, incarnation, fitFrom = now + unsteadyTime(state, info.address, now))
+        val joined = state.copy(
+            table = state.table.with(member),
+            tombstones = state.tombstones.remove(info.id),
+            probeOrder = state.probeOrder.add(info.id),
+            changedAt = now,
+        )
+        return Step(spreadIf(spread, joined, member.toUpdate()), listOf(MemberJoined(info)))
+    }
+
+    /** Replaces the record of a member by a later one, which refutes any suspicion. */
+    fun renew(state: MembershipState, later: Member, spread: Boolean, now: Timestamp): MembershipStep {
+        val id = later.info.id
+        val renewed = state.copy(
+            table = state.table.with(later),
+            suspicions = state.suspicions.remove(id),
+            changedAt = now,
+        )
+        val refuted = MembershipEffect.SuspicionRefuted(id, later.incarnation).takeIf { id in state.suspicions }
+        return Step(spreadIf(spread, renewed, later.toUpdate()), listOfNotNull(refuted))
+    }
+
+    /** Takes [member] out at [incarnation] for [reason] and tells others. */
+    fun remove(
+        state: MembershipState,
+        member: Member,
+        incarnation: Long,
+        reason: RemovalReason,
+        now: Timestamp,
+    ): MembershipStep {
+        val id = member.info.id
+        val departed = reason != RemovalReason.UNREACHABLE
+        val tombstone = Tombstone(member.info, incarnation, removedAt = now, departed = departed)
+        val removed = state.copy(
+            table = state.table.without(id),
+            tombstones = state.tombstones.put(id, tombstone),
+            removals = if (departed) state.removals else withRemoval(state, member.info.address, now),
+            suspicions = state.suspicions.remove(id),
+            revisions = state.revisions.remove(id),
+            workingHelpers = state.workingHelpers.remove(id),
+            changedAt = now,
+        )
+        return Step(dissemination.queued(removed, tombstone.toUpdate()), listOf(MemberRemoved(member.info, reason)))
+    }
+
+    /** Forgets tombstones and removals that have had their time. */
+    fun cleanup(state: MembershipState, now: Timestamp): MembershipState {
+        if (now < state.schedule.cleanup) return state
+        val oldTombstones = state.tombstones.filterValues { it.removedAt + settings.tombstoneRetention < now }.keys
+        val oldRemovals = state.removals.filterValues { it.lastRemovedAt + settings.removalMemory < now }.keys
+        return state.copy(
+            tombstones = state.tombstones.builder().apply { keys.removeAll(oldTombstones) }.build(),
+            removals = state.removals.builder().apply { keys.removeAll(oldRemovals) }.build(),
+            schedule = state.schedule.copy(cleanup = now + settings.steadyPeriod),
+        )
+    }
+
+    private fun spreadIf(spread: Boolean, state: MembershipState, update: MemberUpdate): MembershipState =
+        if (spread) dissemination.queued(state, update) else state
+
+    private fun withRemoval(state: MembershipState, address: RouterAddress, now: Timestamp) =
+        state.removals.put(address, RemovalHistory(recentRemovals(state, address, now) + 1, lastRemovedAt = now))
+
+    private fun unsteadyTime(state: MembershipState, address: RouterAddress, now: Timestamp): Duration {
+        val removals = recentRemovals(state, address, now)
+        if (removals == 0) return Duration.ZERO
+        val doublings = minOf(removals - 1, MAXIMUM_DOUBLINGS)
+        return minOf(settings.steadyPeriod * (1 shl doublings), settings.steadyPeriodLimit)
+    }
+
+    private fun recentRemovals(state: MembershipState, address: RouterAddress, now: Timestamp): Int {
+        val history = state.removals[address] ?: return 0
+        return if (history.lastRemovedAt + settings.removalMemory < now) 0 else history.removals
+    }
+
+    private companion object {
+        /** Keeps the doubled period within the range of a duration. */
+        const val MAXIMUM_DOUBLINGS = 16
+    }
+}
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/TableSync.kt
@@ -0,0 +1,131 @@
+package org.cicadaarch.membership
+
+import kotlin.random.Random
+import org.cicadaarch.membership.MembershipEffect.Send
+import org.cicadaarch.membership.MembershipMessage.SyncReply
+import org.cicadaarch.membership.MembershipMessage.SyncRequest
+import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Repairs what dissemination missed: two routers whose table digests stay different compare their tables bucket by
+ * bucket, and the one that asked reads the records of differing buckets. A starting router reads the table this way.
+ */
+internal class TableSync(
+    private val settings: MembershipSettings,
+    private val packets: Packets,
+    private val merger: UpdateMerger,
+) {
+    /** Asks the router at [from] for its records when its digest says that they differ and it is time to. */
+    fun startIfDifferent(state: MembershipState, from: RouterAddress, sender: Sender, now: Timestamp): MembershipStep {
+        val settled = !sender.suspects && state.changedAt + settings.settlePeriod <= now
+        val wanted = if (state.sync.everCompleted) settled else true
+        val due = state.schedule.sync <= now && sender.tableDigest != state.tableDigest()
+        return if (wanted && due) ask(state, from, now) else Step(state)
+    }
+
+    /** Answers [request] of the router at [from]. */
+    fun answer(state: MembershipState, request: SyncRequest, from: RouterAddress): MembershipStep {
+        val own = bucketsFor(state)
+        val sender = packets.senderOf(state)
+        val reply = if (request.buckets < own) {
+            SyncReply(sender, buckets = own, next = 0)
+        } else {
+            compared(state, request, sender)
+        }
+        return Step(state, listOf(Send(from, reply)))
+    }
+
+    /** Takes in the records of [reply] and asks the router at [from] for the next ones. */
+    fun received(state: MembershipState, reply: SyncReply, from: RouterAddress, now: Timestamp): MembershipStep {
+        val reached = SyncProgress(reply.buckets, reply.next, state.sync.everCompleted)
+        val duplicate = reply.buckets <= state.sync.buckets && reply.next <= state.sync.next
+        return merger.applyRecords(state, reply.records, now).then { merged ->
+            when {
+                reply.next >= reply.buckets -> Step(merged.copy(sync = SyncProgress(everCompleted = true)))
+                duplicate -> Step(merged)
+                else -> ask(merged.copy(sync = reached), from, now)
+            }
+        }
+    }
+
+    private fun ask(state: MembershipState, to: RouterAddress, now: Timestamp): MembershipStep {
+        val buckets = maxOf(state.sync.buckets, bucketsFor(state))
+        val first = if (buckets == state.sync.buckets) state.sync.next else 0
+        val period = if (state.sync.everCompleted) settings.syncPeriod else settings.joinSyncPeriod
+        val asking = state.copy(
+            sync = state.sync.copy(buckets = buckets, next = first),
+            schedule = state.schedule.copy(sync = now + period),
+        )
+        val digests = bucketDigests(asking, buckets, first)
+        return packets.send(asking, to, reserved = digests.size * DIGEST_BYTES + DIGESTS_HEAD) { sender, updates ->
+            SyncRequest(sender, buckets, first, digests, updates)
+        }
+    }
+
+    private fun compared(state: MembershipState, request: SyncRequest, sender: Sender): SyncReply {
+        val own = bucketDigests(state, request.buckets, request.first)
+        val differing = request.digests.indices.filter { own.getOrNull(it) != request.digests[it] }
+        val records = recordsByBucket(state, request.buckets, differing.map { request.first + it }.toSet())
+        var left = packets.spaceAfter(sender)
+        var next = request.first + request.digests.size
+        val chosen = mutableListOf<MemberUpdate>()
+        for (offset in differing) {
+            val bucket = records[request.first + offset].orEmpty()
+            val bytes = bucket.sumOf(PacketSize::of)
+            if (bytes > left && chosen.isNotEmpty()) {
+                next = request.first + offset
+                break
+            }
+            val fitting = if (bytes > left) fittingPart(bucket, left, state.sequence) else bucket
+            chosen += fitting
+            left -= fitting.sumOf(PacketSize::of)
+        }
+        return SyncReply(sender, request.buckets, next, chosen)
+    }
+
+    /** A random part of a bucket that is too large for one message; later comparisons bring the rest. */
+    private fun fittingPart(bucket: List<MemberUpdate>, bytes: Int, seed: Int): List<MemberUpdate> {
+        var left = bytes
+        return bucket.shuffled(Random(settings.seed xor seed.toLong())).takeWhile {
+            left -= PacketSize.of(it)
+            left >= 0
+        }
+    }
+
+    private fun recordsByBucket(state: MembershipState, buckets: Int, wanted: Set<Int>): Map<Int, List<MemberUpdate>> {
+        val alive = state.table.members.values.asSequence()
+            .filter { RecordHash.bucket(it.info.id, buckets) in wanted }
+            .map { it.toUpdate() }
+        val gone = state.tombstones.values.asSequence()
+            .filter { RecordHash.bucket(it.info.id, buckets) in wanted }
+            .map { it.toUpdate() }
+        val self = sequenceOf(state.selfUpdate()).filter { RecordHash.bucket(it.id, buckets) in wanted }
+        return (self + alive + gone).groupBy { RecordHash.bucket(it.id, buckets) }
+    }
+
+    private fun bucketDigests(state: MembershipState, buckets: Int, first: Int): List<Int> {
+        val digests = IntArray(minOf(DIGESTS_PER_REQUEST, buckets - first).coerceAtLeast(0))
+        fun add(bucket: Int, hash: Int) {
+            val offset = bucket - first
+            if (offset in digests.indices) digests[offset] = digests[offset] xor hash
+        }
+        state.table.members.values.forEach { add(RecordHash.bucket(it.info.id, buckets), RecordHash.of(it)) }
+        add(RecordHash.bucket(state.self.id, buckets), RecordHash.of(state.self, state.incarnation))
+        return digests.asList()
+    }
+
+    private fun bucketsFor(state: MembershipState): Int =
+        maxOf(1, (state.table.size + 1) / RECORDS_PER_BUCKET).takeHighestOneBit().coerceAtMost(MAXIMUM_BUCKETS)
+
+    private companion object {
+        const val RECORDS_PER_BUCKET = 2
+        const val MAXIMUM_BUCKETS = 4_096
+        const val DIGESTS_PER_REQUEST = 32
+
+        /** Bytes of one digest and of the fields around them, encoded. */
+        const val DIGEST_BYTES = 5
+        const val DIGESTS_HEAD = 16
+    }
+}
--- /dev/null
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/ViewProjector.kt
@@ -0,0 +1,34 @@
+package org.cicadaarch.membership
+
+import org.cicadaarch.membership.MembershipEffect.ViewChanged
+import org.cicadaarch.model.RouterInfo
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Derives the view from the member table: this router and the members fit for roles, with the list's leaving flags.
+ */
+internal class ViewProjector {
+    /** Renews the view when the table, the list or a member's fitness has changed. */
+    fun project(state: MembershipState, now: Timestamp): MembershipStep {
+        val fitnessDue = state.viewChangesAt?.let { it <= now } ?: false
+        val unchanged = state.table === state.viewedTable && state.list === state.viewedList
+        if (unchanged && !fitnessDue && state.view.routers[state.self.id] == state.self) return Step(state)
+        val (fit, unfit) = state.table.members.values.partition { it.fitFrom <= now }
+        val routers = fit.map { withListedLeaving(state, it.info) } + state.self
+        val view = RouterView(state.self.id, routers.associateBy { it.id })
+        val projected = state.copy(
+            view = view,
+            viewedTable = state.table,
+            viewedList = state.list,
+            viewChangesAt = unfit.minOfOrNull { it.fitFrom },
+        )
+        return Step(projected, if (view == state.view) emptyList() else listOf(ViewChanged(view)))
+    }
+
+    private fun withListedLeaving(state: MembershipState, info: RouterInfo): RouterInfo {
+        val listedLeaving = state.list[info.address]?.leaving ?: false
+        return if (listedLeaving && !info.leaving) info.copy(leaving = true) else info
+    }
+}
