Drive the membership from the joined reducer

Cause: the router's view came from no probes yet. Change: membership events and effects pass through RouterReducer; the view that it reports goes to the admission owners and the ingress. Conclusion: the shell only has to carry datagrams and read the list.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
@@ -1,5 +1,8 @@
 package org.cicadaarch.core
 
+import org.cicadaarch.membership.MembershipEffect
+import org.cicadaarch.membership.MembershipMessage
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.request.IngressEffect
 
@@ -12,4 +15,13 @@
 
     /** Sends [message] to the other router [to]. */
     data class SendToPeer(val to: RouterId, val message: PeerMessage) : RouterEffect()
+
+    /** Sends [message] in one datagram to the router at [to]. */
+    data class SendDatagram(val to: RouterAddress, val message: MembershipMessage) : RouterEffect()
+
+    /** Reads the platform's list of VMs; the answer comes back as a membership event. */
+    data object FetchVirtualMachines : RouterEffect()
+
+    /** Something about other routers that an operator may want to know. */
+    data class MembershipNotice(val notice: MembershipEffect) : RouterEffect()
 }
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.core
 
+import org.cicadaarch.membership.MembershipEvent
 import org.cicadaarch.model.Revision
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterView
@@ -17,6 +18,9 @@
     /** [message] came from router [from]. */
     data class PeerMessageReceived(val from: RouterId, val message: PeerMessage) : RouterEvent()
 
+    /** Something happened to the list of live routers. */
+    data class Membership(val event: MembershipEvent) : RouterEvent()
+
     /** The list of live routers changed. */
     data class RoutersChanged(val view: RouterView) : RouterEvent()
 
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -6,7 +6,11 @@
 import org.cicadaarch.admission.AdmissionEvent
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.admission.AdmissionReducer
+import org.cicadaarch.membership.MembershipEffect
+import org.cicadaarch.membership.MembershipEvent
+import org.cicadaarch.membership.MembershipReducer
 import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.Step
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.request.IngressEffect
@@ -20,6 +24,7 @@
 class RouterReducer(
     private val ingressReducer: IngressReducer = IngressReducer(),
     private val admissionReducer: AdmissionReducer = AdmissionReducer(),
+    private val membershipReducer: MembershipReducer = MembershipReducer(),
 ) {
     /** The state and the effects after [event] at [now]. */
     fun reduce(state: RouterState, event: RouterEvent, now: Timestamp): Step<RouterState, RouterEffect> {
@@ -29,7 +34,9 @@
 
             is RouterEvent.PeerMessageReceived -> transition.receive(event.from, event.message)
 
-            is RouterEvent.RoutersChanged -> transition.routersChanged(event)
+            is RouterEvent.Membership -> transition.reduceMembership(event.event)
+
+            is RouterEvent.RoutersChanged -> transition.routersChanged(event.view)
 
             is RouterEvent.FleetChanged -> transition.fleetChanged(event)
 
@@ -38,6 +45,7 @@
             )
 
             RouterEvent.Tick -> {
+                transition.reduceMembership(MembershipEvent.Tick)
                 transition.reduceAdmission(AdmissionEvent.Tick)
                 transition.reduceIngress(IngressEvent.Tick)
             }
@@ -58,15 +66,16 @@
             }
         }
 
-        fun routersChanged(event: RouterEvent.RoutersChanged) {
-            state = state.copy(view = event.view)
-            reduceAdmission(AdmissionEvent.RoutersChanged(event.view))
-            reduceIngress(IngressEvent.RoutersChanged(event.view))
+        fun routersChanged(view: RouterView) {
+            state = state.copy(view = view)
+            reduceAdmission(AdmissionEvent.RoutersChanged(view))
+            reduceIngress(IngressEvent.RoutersChanged(view))
         }
 
         fun fleetChanged(event: RouterEvent.FleetChanged) {
             if (event.revision <= state.revision) return
             state = state.copy(revision = event.revision)
+            reduceMembership(MembershipEvent.RevisionInstalled(event.revision))
             reduceAdmission(AdmissionEvent.FleetChanged(event.fleet))
             reduceIngress(IngressEvent.FleetChanged(event.fleet))
         }
@@ -83,6 +92,31 @@
             step.effects.forEach(::carryOut)
         }
 
+        fun reduceMembership(event: MembershipEvent) {
+            val step = membershipReducer.reduce(state.membership, event, now)
+            state = state.copy(membership = step.state)
+            step.effects.forEach(::carryOut)
+        }
+
+        private fun carryOut(effect: MembershipEffect) {
+            when (effect) {
+                is MembershipEffect.Send -> effects += RouterEffect.SendDatagram(effect.to, effect.message)
+
+                is MembershipEffect.FetchList -> effects += RouterEffect.FetchVirtualMachines
+
+                is MembershipEffect.ViewChanged -> routersChanged(effect.view)
+
+                is MembershipEffect.DigestHeard -> Unit
+
+                is MembershipEffect.MemberJoined,
+                is MembershipEffect.MemberSuspected,
+                is MembershipEffect.SuspicionRefuted,
+                is MembershipEffect.MemberRemoved,
+                is MembershipEffect.PauseNoticed,
+                -> effects += RouterEffect.MembershipNotice(effect)
+            }
+        }
+
         private fun carryOut(effect: IngressEffect) {
             when (effect) {
                 is IngressEffect.SendToOwner -> sendToOwner(effect.to, effect.message)
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
@@ -1,8 +1,11 @@
 package org.cicadaarch.core
 
 import org.cicadaarch.admission.AdmissionState
+import org.cicadaarch.membership.MembershipState
 import org.cicadaarch.model.Revision
+import org.cicadaarch.model.RouterInfo
 import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.Timestamp
 import org.cicadaarch.request.IngressState
 
 /**
@@ -10,7 +13,16 @@
  */
 data class RouterState(
     val view: RouterView,
+    val membership: MembershipState,
     val revision: Revision = Revision.NONE,
     val ingress: IngressState = IngressState(view = view),
     val admission: AdmissionState = AdmissionState(view = view, fleet = null),
-)
+) {
+    companion object {
+        /** The state of a process that starts as [self] at [now] and knows nobody. */
+        fun initial(self: RouterInfo, now: Timestamp): RouterState = RouterState(
+            view = RouterView(self.id, mapOf(self.id to self)),
+            membership = MembershipState.initial(self, now),
+        )
+    }
+}
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
@@ -64,6 +64,7 @@
 
     init {
         routers.values.forEach { router ->
+            updateView(router.info.id)
             router.dispatch(RouterEvent.FleetChanged(revision, fleet))
             router.scheduleTick()
         }
@@ -113,7 +114,7 @@
     private inner class SimulatedRouter(val info: RouterInfo) {
         var alive = true
             private set
-        var state = RouterState(RouterView(info.id, infos.associateBy { it.id }))
+        var state = RouterState.initial(info, clock.now)
             private set
         private var frozenUntil: Timestamp? = null
         private val delayed = mutableListOf<() -> Unit>()
@@ -167,6 +168,11 @@
                 }
 
                 is RouterEffect.Ingress -> carryOut(effect.effect)
+
+                is RouterEffect.SendDatagram,
+                is RouterEffect.MembershipNotice,
+                RouterEffect.FetchVirtualMachines,
+                -> Unit
             }
         }
 
