--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/Base64TextSerializer.kt
@@ -0,0 +1,20 @@
+package org.cicadaarch.platform
+
+import java.util.Base64
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+
+/**
+ * Writes UTF-8 text as base64.
+ */
+internal object Base64TextSerializer : KSerializer<String> {
+    override val descriptor = PrimitiveSerialDescriptor("org.cicadaarch.platform.Base64Text", PrimitiveKind.STRING)
+
+    override fun serialize(encoder: Encoder, value: String) =
+        encoder.encodeString(Base64.getEncoder().encodeToString(value.toByteArray()))
+
+    override fun deserialize(decoder: Decoder): String = String(Base64.getDecoder().decode(decoder.decodeString()))
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/EtcdStore.kt
@@ -0,0 +1,167 @@
+package org.cicadaarch.platform
+
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.encodeToString
+import org.cicadaarch.model.store.ExpectedState
+import org.cicadaarch.model.store.LeaseId
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+
+/**
+ * The platform's store at [endpoint], spoken to in the etcd v3 JSON format over HTTP.
+ *
+ * A command is refused only when its request was not written or the store rejected it; when an answer is missing after
+ * [requestTimeout], or the store failed with a status of 500 or above, the command counts as unanswered.
+ */
+class EtcdStore(eventLoopGroup: EventLoopGroup, endpoint: InetSocketAddress, private val requestTimeout: Duration) :
+    Store {
+    private val client = HttpClient(eventLoopGroup, endpoint)
+
+    override fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) = when (command) {
+        is StoreCommand.Read -> read(RangeRequest(key = command.key), onResult)
+        is StoreCommand.ReadPrefix -> read(prefixRequest(command), onResult)
+        is StoreCommand.CompareAndSet -> write(command.key, command.expected, putOf(command), onResult)
+        is StoreCommand.CompareAndDelete -> write(command.key, command.expected, deleteOf(command), onResult)
+        is StoreCommand.GrantLease -> grantLease(command, onResult)
+        is StoreCommand.RenewLease -> renewLease(command, onResult)
+        is StoreCommand.RevokeLease -> revokeLease(command, onResult)
+        is StoreCommand.AwaitChange -> awaitChange(command, onResult)
+    }
+
+    override fun close() = client.close()
+
+    private fun read(request: RangeRequest, onResult: (StoreResult) -> Unit) =
+        post<RangeRequest, RangeResponse>("/v3/kv/range", request, onResult) { response ->
+            StoreResult.Values(response.keyValues.map { it.toStoredValue() }, response.header.revision)
+        }
+
+    private fun prefixRequest(command: StoreCommand.ReadPrefix): RangeRequest = RangeRequest(
+        key = maxOf(command.from, command.prefix),
+        rangeEnd = prefixEnd(command.prefix),
+        limit = command.limit.toLong(),
+    )
+
+    private fun putOf(command: StoreCommand.CompareAndSet): RequestOperation =
+        RequestOperation(put = PutRequest(command.key, command.value, command.lease?.value ?: 0))
+
+    private fun deleteOf(command: StoreCommand.CompareAndDelete): RequestOperation =
+        RequestOperation(delete = DeleteRequest(command.key))
+
+    private fun write(
+        key: String,
+        expected: ExpectedState,
+        operation: RequestOperation,
+        onResult: (StoreResult) -> Unit,
+    ) {
+        val request = TransactionRequest(
+            compare = listOf(comparison(key, expected)),
+            success = listOf(operation),
+            failure = listOf(RequestOperation(range = RangeRequest(key))),
+        )
+        post<TransactionRequest, TransactionResponse>("/v3/kv/txn", request, onResult) { response ->
+            when {
+                response.succeeded -> StoreResult.Written(response.header.revision)
+                else -> StoreResult.Conflict(currentValue(response))
+            }
+        }
+    }
+
+    private fun comparison(key: String, expected: ExpectedState): Comparison = when (expected) {
+        is ExpectedState.Absent -> Comparison(key = key, target = "CREATE", createRevision = 0)
+        is ExpectedState.AtRevision -> Comparison(key = key, target = "MOD", modifyRevision = expected.revision)
+    }
+
+    private fun currentValue(response: TransactionResponse) =
+        response.responses.firstNotNullOfOrNull { it.range }?.keyValues?.firstOrNull()?.toStoredValue()
+
+    private fun grantLease(command: StoreCommand.GrantLease, onResult: (StoreResult) -> Unit) {
+        val request = LeaseRequest(seconds = wholeSecondsAbove(command.timeToLive))
+        post<LeaseRequest, LeaseResponse>("/v3/lease/grant", request, onResult) { it.toResult() }
+    }
+
+    private fun renewLease(command: StoreCommand.RenewLease, onResult: (StoreResult) -> Unit) =
+        post<LeaseRequest, LeaseRenewalResponse>(
+            "/v3/lease/keepalive",
+            LeaseRequest(id = command.lease.value),
+            onResult,
+        ) {
+            it.result.toResult()
+        }
+
+    private fun revokeLease(command: StoreCommand.RevokeLease, onResult: (StoreResult) -> Unit) =
+        post<LeaseRequest, RevocationResponse>("/v3/lease/revoke", LeaseRequest(id = command.lease.value), onResult) {
+            StoreResult.Written(it.header.revision)
+        }
+
+    private fun LeaseResponse.toResult(): StoreResult =
+        if (seconds > 0) StoreResult.LeaseHeld(LeaseId(id), seconds.seconds) else StoreResult.LeaseLost
+
+    private fun wholeSecondsAbove(duration: Duration): Long =
+        duration.inWholeSeconds + if (duration > duration.inWholeSeconds.seconds) 1 else 0
+
+    private fun awaitChange(command: StoreCommand.AwaitChange, onResult: (StoreResult) -> Unit) {
+        val creation = WatchCreation(
+            key = command.prefix,
+            rangeEnd = prefixEnd(command.prefix),
+            startRevision = command.afterRevision + 1,
+        )
+        client.stream(
+            call = HttpCall(HttpMethod.POST, "/v3/watch", platformJson.encodeToString(WatchRequest(creation))),
+            timeout = requestTimeout,
+            handler = EtcdWatchHandler(command, requestTimeout, onResult),
+            onNotSent = { onResult(StoreResult.Refused(it)) },
+        )
+    }
+
+    private inline fun <reified Q, reified A> post(
+        path: String,
+        request: Q,
+        noinline onResult: (StoreResult) -> Unit,
+        crossinline toResult: (A) -> StoreResult,
+    ) {
+        val call = HttpCall(HttpMethod.POST, path, platformJson.encodeToString(request))
+        client.exchange(call, requestTimeout) { outcome ->
+            onResult(resultOf(outcome) { body -> toResult(platformJson.decodeFromString<A>(body)) })
+        }
+    }
+
+    private fun resultOf(outcome: HttpOutcome, decode: (String) -> StoreResult): StoreResult = when (outcome) {
+        is HttpOutcome.Answered -> answerOf(outcome, decode)
+        is HttpOutcome.NotSent -> StoreResult.Refused(outcome.reason)
+        is HttpOutcome.Broken -> StoreResult.Unanswered(outcome.reason)
+        is HttpOutcome.TimedOut -> StoreResult.Unanswered("no answer in $requestTimeout")
+    }
+
+    private fun answerOf(answer: HttpOutcome.Answered, decode: (String) -> StoreResult): StoreResult = try {
+        when (answer.status) {
+            HttpResponseStatus.OK.code() -> decode(answer.body)
+            in REJECTED_STATUSES -> rejectionOf(platformJson.decodeFromString(answer.body))
+            else -> StoreResult.Unanswered("store failed with status ${answer.status}: ${answer.body}")
+        }
+    } catch (exception: IllegalArgumentException) {
+        StoreResult.Unanswered("malformed answer: ${exception.message}")
+    }
+
+    // Only a lease is looked up by identity, so a missing thing is a missing lease.
+    private fun rejectionOf(error: ErrorAnswer): StoreResult =
+        if (error.code == NOT_FOUND_CODE) StoreResult.LeaseLost else StoreResult.Refused(error.message)
+
+    // The first key after all keys with the prefix; every key when the prefix is empty.
+    private fun prefixEnd(prefix: String): String = when {
+        prefix.isEmpty() -> ALL_KEYS_END
+        else -> prefix.dropLast(1) + (prefix.last() + 1)
+    }
+
+    private companion object {
+        const val NOT_FOUND_CODE = 5
+        const val ALL_KEYS_END = "\u0000"
+
+        // 408 and 499 stand for a cancelled call, which may have taken effect.
+        val REJECTED_STATUSES = setOf(400, 401, 403, 404, 409, 412, 413, 429)
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/EtcdWatchHandler.kt
@@ -0,0 +1,112 @@
+package org.cicadaarch.platform
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.LastHttpContent
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlinx.serialization.SerializationException
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+
+/**
+ * Waits on a watch stream for the first change and closes the connection.
+ *
+ * The store has [confirmTimeout] to confirm the watch; a confirmed watch ends without change at the command's timeout.
+ */
+internal class EtcdWatchHandler(
+    private val command: StoreCommand.AwaitChange,
+    private val confirmTimeout: Duration,
+    private val onResult: (StoreResult) -> Unit,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private val line = ByteArrayOutputStream()
+    private var isConfirmed = false
+    private var isDone = false
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        schedule(context, command.timeout) { end(context, if (isConfirmed) unchanged() else unconfirmed()) }
+        schedule(context, confirmTimeout) { if (!isConfirmed) end(context, unconfirmed()) }
+        context.fireChannelActive()
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, part: HttpObject) {
+        if (part is HttpResponse && part.status() != HttpResponseStatus.OK) {
+            end(context, StoreResult.Refused("watch answered ${part.status()}"))
+        }
+        if (part is HttpContent) readLines(context, part)
+        if (part is LastHttpContent) end(context, StoreResult.Unanswered("watch stream ended"))
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        end(context, StoreResult.Unanswered("connection closed"))
+    }
+
+    @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        end(context, StoreResult.Unanswered(cause.toString()))
+    }
+
+    private fun readLines(context: ChannelHandlerContext, part: HttpContent) {
+        part.content().forEachByte { byte ->
+            if (byte == LINE_END) readLine(context) else line.write(byte.toInt())
+            true
+        }
+    }
+
+    private fun readLine(context: ChannelHandlerContext) {
+        val text = line.toString(Charsets.UTF_8)
+        line.reset()
+        if (text.isBlank()) return
+        try {
+            handle(context, platformJson.decodeFromString(text))
+        } catch (exception: SerializationException) {
+            end(context, StoreResult.Unanswered("malformed watch message: ${exception.message}"))
+        }
+    }
+
+    private fun handle(context: ChannelHandlerContext, message: WatchMessage) {
+        val result = message.result
+        when {
+            result == null -> end(context, StoreResult.Refused(message.error?.message ?: "empty watch message"))
+
+            result.canceled -> end(
+                context,
+                StoreResult.Refused("watch cancelled, compacted at ${result.compactRevision}"),
+            )
+
+            result.events.isNotEmpty() -> end(context, changed(result.events))
+
+            result.created -> isConfirmed = true
+        }
+    }
+
+    private fun changed(events: List<WatchEvent>): StoreResult = StoreResult.Values(
+        values = events.map { it.toStoredValue() },
+        revision = events.maxOf { it.keyValue.modifyRevision },
+    )
+
+    private fun unchanged(): StoreResult = StoreResult.Values(values = emptyList(), revision = command.afterRevision)
+
+    private fun unconfirmed(): StoreResult = StoreResult.Unanswered("watch not confirmed in time")
+
+    private fun schedule(context: ChannelHandlerContext, delay: Duration, action: () -> Unit) {
+        val timer = context.executor().schedule(action, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        context.channel().closeFuture().addListener { timer.cancel(false) }
+    }
+
+    private fun end(context: ChannelHandlerContext, result: StoreResult) {
+        if (isDone) return
+        isDone = true
+        onResult(result)
+        context.close()
+    }
+
+    private companion object {
+        const val LINE_END = '\n'.code.toByte()
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpCall.kt
@@ -0,0 +1,26 @@
+package org.cicadaarch.platform
+
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
+
+/**
+ * An HTTP request with a JSON [body], empty for none.
+ */
+internal data class HttpCall(val method: HttpMethod, val path: String, val body: String = "") {
+    /** The request to [endpoint] as Netty writes it. */
+    fun toRequest(endpoint: InetSocketAddress): FullHttpRequest {
+        val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+        request.headers()
+            .set(HttpHeaderNames.HOST, "${endpoint.hostString}:${endpoint.port}")
+            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            .set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        return request
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpClient.kt
@@ -0,0 +1,120 @@
+package org.cicadaarch.platform
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentLinkedDeque
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * An HTTP client of one endpoint that keeps idle connections for later calls.
+ *
+ * Every call ends in exactly one [HttpOutcome], within its timeout. The event loops belong to the caller.
+ */
+internal class HttpClient(private val eventLoopGroup: EventLoopGroup, private val endpoint: InetSocketAddress) :
+    AutoCloseable {
+    private val idle = ConcurrentLinkedDeque<Channel>()
+    private val open = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
+
+    /** Sends [call] and gives its outcome to [onOutcome]. */
+    fun exchange(call: HttpCall, timeout: Duration, onOutcome: (HttpOutcome) -> Unit) {
+        val deadline = TimeSource.Monotonic.markNow() + timeout
+        val channel = idle.pollFirst()
+        if (channel == null) {
+            exchangeOnNewConnection(call, deadline, onOutcome)
+        } else {
+            channel.eventLoop().execute {
+                when {
+                    channel.isActive -> write(channel, call, deadline, onOutcome)
+                    else -> exchangeOnNewConnection(call, deadline, onOutcome)
+                }
+            }
+        }
+    }
+
+    /** Sends [call] on a connection of its own, whose parts of the answer go to [handler]. */
+    fun stream(call: HttpCall, timeout: Duration, handler: ChannelHandler, onNotSent: (String) -> Unit) {
+        connect(timeout, { listOf(handler) }) { future ->
+            when {
+                future.isSuccess -> future.channel().writeAndFlush(call.toRequest(endpoint))
+                else -> onNotSent(future.cause().toString())
+            }
+        }
+    }
+
+    override fun close() {
+        open.close()
+    }
+
+    private fun exchangeOnNewConnection(
+        call: HttpCall,
+        deadline: TimeSource.Monotonic.ValueTimeMark,
+        onOutcome: (HttpOutcome) -> Unit,
+    ) {
+        val handlers = { listOf(HttpObjectAggregator(MAXIMUM_ANSWER_BYTES), HttpExchangeHandler()) }
+        connect(-deadline.elapsedNow(), handlers) { future ->
+            when {
+                future.isSuccess -> write(future.channel(), call, deadline, onOutcome)
+                else -> onOutcome(HttpOutcome.NotSent(future.cause().toString()))
+            }
+        }
+    }
+
+    private fun write(
+        channel: Channel,
+        call: HttpCall,
+        deadline: TimeSource.Monotonic.ValueTimeMark,
+        onOutcome: (HttpOutcome) -> Unit,
+    ) {
+        channel.pipeline().get(HttpExchangeHandler::class.java).begin(-deadline.elapsedNow()) { outcome, reusable ->
+            when {
+                reusable -> idle.offerFirst(channel)
+                outcome is HttpOutcome.TimedOut -> dropIdle()
+            }
+            onOutcome(outcome)
+        }
+        channel.writeAndFlush(call.toRequest(endpoint))
+    }
+
+    // A connection that went silent is a sign that the idle ones did, too.
+    private fun dropIdle() = generateSequence { idle.pollFirst() }.forEach { it.close() }
+
+    private fun connect(timeout: Duration, handlers: () -> List<ChannelHandler>, onDone: (ChannelFuture) -> Unit) {
+        Bootstrap()
+            .group(eventLoopGroup)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMilliseconds(timeout))
+            .handler(PipelineInitializer(handlers))
+            .connect(endpoint)
+            .addListener { future -> onDone(future as ChannelFuture) }
+    }
+
+    private fun connectMilliseconds(timeout: Duration): Int =
+        timeout.inWholeMilliseconds.coerceIn(1, Int.MAX_VALUE.toLong()).toInt()
+
+    private inner class PipelineInitializer(private val handlers: () -> List<ChannelHandler>) :
+        ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            open.add(channel)
+            channel.closeFuture().addListener { idle.remove(channel) }
+            channel.pipeline().addLast(HttpClientCodec())
+            handlers().forEach { channel.pipeline().addLast(it) }
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpExchangeHandler.kt
@@ -0,0 +1,63 @@
+package org.cicadaarch.platform
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/**
+ * Carries one exchange at a time over a connection. All functions run on the connection's event loop.
+ */
+internal class HttpExchangeHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
+    private lateinit var context: ChannelHandlerContext
+    private var onOutcome: ((HttpOutcome, reusable: Boolean) -> Unit)? = null
+    private var timer: ScheduledFuture<*>? = null
+
+    /** Starts to wait for an answer; [onOutcome] is told whether the connection can carry another exchange. */
+    fun begin(timeout: Duration, onOutcome: (HttpOutcome, reusable: Boolean) -> Unit) {
+        check(this.onOutcome == null) { "The connection already carries an exchange." }
+        this.onOutcome = onOutcome
+        timer = context.executor().schedule(
+            { endAndClose(HttpOutcome.TimedOut) },
+            timeout.inWholeNanoseconds,
+            TimeUnit.NANOSECONDS,
+        )
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+        val answer = HttpOutcome.Answered(response.status().code(), response.content().toString(Charsets.UTF_8))
+        when {
+            response.decoderResult().isFailure -> endAndClose(HttpOutcome.Broken("malformed HTTP answer"))
+            HttpUtil.isKeepAlive(response) -> end(answer, reusable = true)
+            else -> endAndClose(answer)
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        end(HttpOutcome.Broken("connection closed"), reusable = false)
+    }
+
+    @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        endAndClose(HttpOutcome.Broken(cause.toString()))
+    }
+
+    private fun endAndClose(outcome: HttpOutcome) {
+        end(outcome, reusable = false)
+        context.close()
+    }
+
+    private fun end(outcome: HttpOutcome, reusable: Boolean) {
+        timer?.cancel(false)
+        val callback = onOutcome ?: return
+        onOutcome = null
+        callback(outcome, reusable)
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpVirtualMachineList.kt
@@ -0,0 +1,51 @@
+package org.cicadaarch.platform
+
+import arrow.core.Either
+import arrow.core.left
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The platform's list of VMs, fetched by `GET /vms` from [endpoint] as a JSON list of addresses, zones and states.
+ */
+class HttpVirtualMachineList(
+    eventLoopGroup: EventLoopGroup,
+    endpoint: InetSocketAddress,
+    private val requestTimeout: Duration = DEFAULT_REQUEST_TIMEOUT,
+) : VirtualMachineList {
+    private val client = HttpClient(eventLoopGroup, endpoint)
+
+    override fun fetch(onResult: (Either<PlatformError, List<VirtualMachine>>) -> Unit) =
+        client.exchange(HttpCall(HttpMethod.GET, "/vms"), requestTimeout) { onResult(resultOf(it)) }
+
+    override fun close() = client.close()
+
+    private fun resultOf(outcome: HttpOutcome): Either<PlatformError, List<VirtualMachine>> = when (outcome) {
+        is HttpOutcome.Answered -> parse(outcome)
+        is HttpOutcome.NotSent -> PlatformError.Unreachable(outcome.reason).left()
+        is HttpOutcome.Broken -> PlatformError.Unreachable(outcome.reason).left()
+        is HttpOutcome.TimedOut -> PlatformError.TimedOut.left()
+    }
+
+    private fun parse(answer: HttpOutcome.Answered): Either<PlatformError, List<VirtualMachine>> =
+        when (answer.status) {
+            HttpResponseStatus.OK.code() ->
+                Either
+                    .catchOrThrow<IllegalArgumentException, _> {
+                        platformJson.decodeFromString<List<VirtualMachineEntry>>(answer.body).map {
+                            it.toVirtualMachine()
+                        }
+                    }
+                    .mapLeft { PlatformError.Malformed(it.message.orEmpty()) }
+
+            else -> PlatformError.Malformed("status ${answer.status}").left()
+        }
+
+    private companion object {
+        val DEFAULT_REQUEST_TIMEOUT = 2.seconds
+    }
+}
--- /dev/null
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/PlatformJson.kt
@@ -0,0 +1,9 @@
+package org.cicadaarch.platform
+
+import kotlinx.serialization.json.Json
+
+/** The JSON format of the platform's services: unknown fields are skipped and defaults left out. */
+internal val platformJson = Json {
+    ignoreUnknownKeys = true
+    explicitNulls = false
+}
