Read, check, write and compare the fleet document

Cause: operators keep the fleet in version control as YAML; a document with a fault must be refused with all of its faults, and accounts must be able to prove themselves without a slow hash per request.

--- /dev/null
+++ b/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/DocumentNode.kt
@@ -0,0 +1,12 @@
+package org.cicadaarch.configuration
+
+/**
+ * A node of a document's canonical tree.
+ */
+internal sealed class DocumentNode {
+    data class Text(val value: String) : DocumentNode()
+
+    data class Sequence(val items: List<DocumentNode>) : DocumentNode()
+
+    data class Mapping(val entries: Map<String, DocumentNode>) : DocumentNode()
+}
--- /dev/null
+++ b/cicadaarch-configuration/src/test/kotlin/org/cicadaarch/configuration/FleetDocumentWriterTest.kt
@@ -0,0 +1,41 @@
+package org.cicadaarch.configuration
+
+import arrow.core.right
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import org.cicadaarch.model.PresetName
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.fleet.FleetDocument
+
+class FleetDocumentWriterTest {
+    @Property(tries = 300, seed = "20261204")
+    fun `Given any valid document, when it is written and parsed, then it is the same document`(
+        @ForAll("documents") document: FleetDocument,
+    ) {
+        val text = FleetDocumentWriter.write(document)
+        assertEquals(document.right(), FleetDocumentParser.parse(text), text)
+        assertEquals(text, FleetDocumentWriter.write(ExampleDocuments.parsed(text)))
+    }
+
+    @Provide
+    fun documents(): Arbitrary<FleetDocument> = FleetDocumentArbitraries.documents()
+
+    @Test
+    fun `Given an edited document, when it is compared, then each changed path is listed with both values`() {
+        val before = ExampleDocuments.hireDesk
+        val leaving = TargetId("hire-engine-3")
+        val after = before.copy(
+            activePreset = PresetName("peak"),
+            targets = before.targets + (leaving to before.targets.getValue(leaving).copy(leaving = true)),
+            accounts = before.accounts.entries.reversed().associate { it.toPair() },
+        )
+        assertEquals(
+            listOf("activePreset: ordinary -> peak", "targets.hire-engine-3.leaving: (absent) -> true"),
+            DocumentDifference.between(before, after).map { it.toString() }.sorted(),
+        )
+    }
+}
