--- a/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/CredentialVerifier.kt
+++ b/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/CredentialVerifier.kt
@@ -14,8 +14,7 @@
  * Verifies callers' tokens of the form `account:secret`. Safe to call from several threads.
  *
  * The last [capacity] secrets that matched are remembered as HMACs under [processKey], so that only an account's first
- * request pays for the slow hash, which is [check]. An entry covers the credential too: one that was withdrawn matches no
- * more.
+ * request pays for [check], the slow hash. An entry covers the credential too, so a withdrawn one matches no more.
  */
 class CredentialVerifier(
     processKey: ByteArray,
