Serve one request all the way through separate processes

Cause: nothing served a caller yet. Change: the router binary: settings from flags and environment variables, callers over Netty's HTTP codec, targets with kept connections and TCP keep-alive, links to other routers over Ktor sockets with CBOR, probes over UDP, the operators' endpoint, metrics, spans and key=value logs. scripts/thin-path starts the stand-ins and three routers, streams one chat answer and makes one booking.

--- /dev/null
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/TargetAddress.kt
@@ -0,0 +1,12 @@
+package org.cicadaarch.router
+
+import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.fleet.Target
+
+/**
+ * Reads the `host:port` of a target, which the document's checks have made sure of.
+ */
+internal object TargetAddress {
+    fun of(target: Target): RouterAddress =
+        RouterAddress(target.address.substringBeforeLast(':'), target.address.substringAfterLast(':').toInt())
+}
--- /dev/null
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
@@ -0,0 +1,96 @@
+package org.cicadaarch.router.caller
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.CompositeByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.timeout.IdleStateHandler
+import java.util.concurrent.atomic.AtomicInteger
+import org.cicadaarch.router.settings.RouterSettings
+
+/**
+ * Listens for callers. Connections above the maximum get an answer that says so and are closed.
+ */
+class CallerServer(
+    private val settings: RouterSettings,
+    private val eventLoops: EventLoopGroup,
+    private val admit: (HttpRequest, CompositeByteBuf, CallerAnswer, (Exchange) -> Unit) -> Unit,
+) : AutoCloseable {
+    private val connections = AtomicInteger()
+    private var listener: Channel? = null
+
+    @Volatile
+    private var draining = false
+
+    /** The callers' open connections. */
+    val openConnections: Int get() = connections.get()
+
+    /** Starts to listen; fails with an exception when the address is taken. */
+    fun start() {
+        listener = ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) = initialize(channel)
+                },
+            )
+            .bind(settings.callerAddress.host, settings.callerAddress.port)
+            .sync()
+            .channel()
+    }
+
+    /** Stops accepting connections; open ones end after the request that they carry. */
+    fun drain() {
+        draining = true
+        listener?.close()
+    }
+
+    override fun close() = drain()
+
+    private fun initialize(channel: SocketChannel) {
+        val decoder = HttpDecoderConfig().setMaxHeaderSize(settings.maximumHeadBytes)
+        channel.pipeline()
+            .addLast(IdleStateHandler(0, 0, IDLE_SECONDS))
+            .addLast(HttpServerCodec(decoder))
+        if (connections.incrementAndGet() > settings.maximumConnections) {
+            channel.pipeline().addLast(CallerConnection(settings.maximumBodyBytes, ::refuseConnection) { true })
+        } else {
+            channel.pipeline().addLast(CallerConnection(settings.maximumBodyBytes, admit) { draining })
+        }
+        channel.closeFuture().addListener { connections.decrementAndGet() }
+    }
+
+    @Suppress("UnusedParameter")
+    private fun refuseConnection(
+        request: HttpRequest,
+        body: CompositeByteBuf,
+        answer: CallerAnswer,
+        opened: (Exchange) -> Unit,
+    ) {
+        body.release()
+        answer.error(
+            CallerError(
+                status = HttpResponseStatus.SERVICE_UNAVAILABLE,
+                code = "too-many-connections",
+                message = "this router has ${settings.maximumConnections} connections, its maximum",
+            ),
+        )
+    }
+
+    private companion object {
+        const val BACKLOG = 4_096
+        const val IDLE_SECONDS = 60
+    }
+}
--- /dev/null
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/LogEvents.kt
@@ -0,0 +1,36 @@
+package org.cicadaarch.router.observation
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+
+/**
+ * Writes one line of key=value pairs for each event.
+ */
+object LogEvents {
+    private val logger = KotlinLogging.logger("cicadaarch")
+
+    /** Logs [event] with the [fields] as ordinary information. */
+    fun info(event: String, fields: LogFields.() -> Unit = {}) {
+        logger.info { line(event, fields) }
+    }
+
+    /** Logs [event] as something that an operator may have to look at. */
+    fun warn(event: String, fields: LogFields.() -> Unit = {}) {
+        logger.warn { line(event, fields) }
+    }
+
+    /** Logs [event] as a fault of this program, with [cause]. */
+    fun error(event: String, cause: Throwable, fields: LogFields.() -> Unit = {}) {
+        logger.error {
+            line(event) {
+                fields()
+                "cause" to cause.toString()
+                "at" to cause.stackTrace.take(STACK_FRAMES).joinToString(separator = "|")
+            }
+        }
+    }
+
+    private fun line(event: String, fields: LogFields.() -> Unit): String =
+        LogFields().apply { "event" to event }.apply(fields).toString()
+
+    private const val STACK_FRAMES = 4
+}
--- /dev/null
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/MonotonicClock.kt
@@ -0,0 +1,13 @@
+package org.cicadaarch.router.runtime
+
+import org.cicadaarch.model.Timestamp
+
+/**
+ * The process's monotonic clock. It does not follow changes of the wall clock.
+ */
+object MonotonicClock {
+    private const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+
+    /** The time now. */
+    fun now(): Timestamp = Timestamp(System.nanoTime() / NANOSECONDS_PER_MILLISECOND)
+}
