Grant idempotency keys once over the fleet from a chain in the store

Cause: a non-idempotent request that is sent again may meet another router, another shard owner, a store that loses answers or an ingress that died; it must still run at most once, and a not-run answer must be true. Change: reducers of the shard owner and of the ingress side. Claims of a shard share segments that are written only at the end of a gapless chain; claims are granted only from a settled prefix of it. Slots of segments form a ring and are never deleted, since a deleted segment could be written again by an owner that was paused. Open holders are asked how they stand; an ingress that forgot a claim may call it abandoned since ends are forgotten only after they are recorded. Conclusion: the order of writes in the store alone decides, whoever owns.

--- /dev/null
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerCodec.kt
@@ -0,0 +1,30 @@
+package org.cicadaarch.ledger
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * Turns segments and snapshots into the store's text values and back; null stands for a value that is malformed.
+ */
+internal object LedgerCodec {
+    private val format = Json {
+        classDiscriminator = "o"
+        encodeDefaults = false
+    }
+
+    fun encode(segment: Segment): String = format.encodeToString(segment)
+
+    fun encode(snapshot: Snapshot): String = format.encodeToString(snapshot)
+
+    fun segment(value: String?): Segment? = decoded(value) { format.decodeFromString<Segment>(it) }
+
+    fun snapshot(value: String?): Snapshot? = decoded(value) { format.decodeFromString<Snapshot>(it) }
+
+    private fun <T> decoded(value: String?, decode: (String) -> T): T? = try {
+        value?.let(decode)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+}
--- /dev/null
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerReducer.kt
@@ -0,0 +1,104 @@
+package org.cicadaarch.ledger
+
+import org.cicadaarch.ledger.LedgerMessage.ClaimAbandoned
+import org.cicadaarch.ledger.LedgerMessage.ClaimFinished
+import org.cicadaarch.ledger.LedgerMessage.ClaimRedirected
+import org.cicadaarch.ledger.LedgerMessage.ClaimRequest
+import org.cicadaarch.ledger.LedgerMessage.ClaimRunning
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Grants claims of idempotency keys for the shards that this router owns, each key once per window over all routers.
+ *
+ * A claim is granted only from a settled prefix of its shard's chain in the store. Who owns a shard matters for speed,
+ * not for correctness: the store lets only one router write each sequence.
+ */
+class LedgerReducer(private val settings: LedgerSettings = LedgerSettings()) {
+    private val shardReducer = ShardReducer(settings)
+
+    /** The state and the effects after [event] at [now]. */
+    fun reduce(state: LedgerState, event: LedgerEvent, now: Timestamp): Step<LedgerState, LedgerEffect> = when (event) {
+        is LedgerEvent.Received -> received(state, event, now)
+
+        is LedgerEvent.StoreAnswered -> onShard(state, event.token.shard) { shard ->
+            shardReducer.storeAnswered(shard, event.token, event.result, state.timeAt(now))
+        }
+
+        is LedgerEvent.RoutersChanged -> Step(state.copy(view = event.view))
+
+        is LedgerEvent.Tick -> ticked(state.copy(epochSeconds = event.epochSeconds, tickedAt = now), now)
+    }
+
+    private fun received(
+        state: LedgerState,
+        event: LedgerEvent.Received,
+        now: Timestamp,
+    ): Step<LedgerState, LedgerEffect> {
+        val number = ShardOwnership.shardOf(event.message.claim.key, settings.shards)
+        val owner = ShardOwnership.ownerOf(number, state.view)
+        val shard = state.shards[number]
+        if (shard?.chain == null && owner != state.view.self) return redirected(state, event, owner)
+        val used = (shard ?: ShardState(number, lastUsedAt = now)).copy(lastUsedAt = now)
+        return onShard(state.copy(shards = state.shards.put(number, used)), number) {
+            received(it, event.message, state.timeAt(now))
+        }
+    }
+
+    private fun received(
+        shard: ShardState,
+        message: LedgerMessage.ForOwner,
+        time: LedgerTime,
+    ): Step<ShardState, LedgerEffect> = when (message) {
+        is ClaimRequest -> shardReducer.claimRequested(shard, message, time)
+
+        is ClaimFinished -> {
+            val record = LedgerRecord.Finished(message.claim, message.result, message.digest)
+            shardReducer.reported(shard, record, time)
+        }
+
+        is ClaimAbandoned -> shardReducer.reported(shard, LedgerRecord.Abandoned(message.claim), time)
+
+        is ClaimRunning -> Step(shardReducer.heardOf(shard, message.claim, time))
+    }
+
+    private fun redirected(
+        state: LedgerState,
+        event: LedgerEvent.Received,
+        owner: RouterId?,
+    ): Step<LedgerState, LedgerEffect> = when {
+        owner == null || event.message is ClaimRunning -> Step(state)
+        else -> Step(state, listOf(LedgerEffect.Send(event.from, ClaimRedirected(event.message.claim, owner))))
+    }
+
+    private fun ticked(state: LedgerState, now: Timestamp): Step<LedgerState, LedgerEffect> =
+        state.shards.values.fold(Step(state)) { step, shard ->
+            if (isUnloadable(step.state, shard, now)) {
+                step.copy(state = step.state.copy(shards = step.state.shards.remove(shard.number)))
+            } else {
+                val next = onShard(step.state, shard.number) { shardReducer.ticked(it, state.timeAt(now)) }
+                Step(next.state, step.effects + next.effects)
+            }
+        }
+
+    private fun isUnloadable(state: LedgerState, shard: ShardState, now: Timestamp): Boolean = shard.call == null &&
+        shard.claims.isEmpty() &&
+        shard.reports.isEmpty() &&
+        now - shard.lastUsedAt >= settings.idleUnload &&
+        ShardOwnership.ownerOf(shard.number, state.view) != state.view.self
+
+    private fun onShard(
+        state: LedgerState,
+        number: Int,
+        change: (ShardState) -> Step<ShardState, LedgerEffect>,
+    ): Step<LedgerState, LedgerEffect> {
+        val shard = state.shards[number] ?: return Step(state)
+        val step = change(shard)
+        return Step(state.copy(shards = state.shards.put(number, step.state)), step.effects)
+    }
+
+    // A process that was paused handles other events before its next tick; its records must not look old.
+    private fun LedgerState.timeAt(now: Timestamp): LedgerTime =
+        LedgerTime(now, epochSeconds + (now - tickedAt).inWholeSeconds)
+}
--- /dev/null
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LoadProgress.kt
@@ -0,0 +1,16 @@
+package org.cicadaarch.ledger
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.model.store.StoredValue
+
+/**
+ * What was read of a shard so far: the [snapshot] once [snapshotRead], then segment values by slot in pages that go on
+ * at [nextSlot].
+ */
+data class LoadProgress(
+    val snapshotRead: Boolean = false,
+    val snapshot: StoredValue? = null,
+    val segments: PersistentMap<Int, StoredValue> = persistentMapOf(),
+    val nextSlot: Int = 0,
+)
--- /dev/null
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/Snapshot.kt
@@ -0,0 +1,13 @@
+package org.cicadaarch.ledger
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * A shard's [entries] after every segment up to and including [lastSequence].
+ */
+@Serializable
+internal data class Snapshot(
+    @SerialName("s") val lastSequence: Long,
+    @SerialName("e") val entries: Map<ClaimKey, LedgerEntry>,
+)
--- /dev/null
+++ b/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/LedgerFuzzTest.kt
@@ -0,0 +1,81 @@
+package org.cicadaarch.ledger
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.state.Action
+import net.jqwik.api.state.ActionChain
+import net.jqwik.api.state.Transformer
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+
+class LedgerFuzzTest {
+    @Property(tries = 250, seed = "20261204")
+    fun `Given any faults, when requests are sent and resent, then each key runs at most once per window`(
+        @ForAll("chains") chain: ActionChain<Any>,
+    ) {
+        val fleet = chain.run() as LedgerFleet
+        fleet.checkRecovery()
+    }
+
+    @Provide
+    fun chains(): Arbitrary<ActionChain<Any>> = ActionChain.startWith<Any> { LedgerFleet(seed = 1) }
+        .withAction(AnyFleetAction())
+        .withMaxTransformations(80)
+
+    private class AnyFleetAction : Action.Independent<Any> {
+        override fun transformer(): Arbitrary<Transformer<Any>> = Arbitraries
+            .longs()
+            .map { FleetAction.random(Random(it)) }
+            .map { action ->
+                Transformer.mutate<Any>(action.toString()) { action.applyTo(it as LedgerFleet) }
+            }
+    }
+
+    @Test
+    fun `Given seeded fleets without a seeded fault, when they are fuzzed, then the oracle is content`() {
+        seeds().forEach { seed ->
+            try {
+                fuzzed(seed, fault = null).checkRecovery()
+            } catch (failure: AssertionError) {
+                throw AssertionError("replay with -D$SEEDS=$seed..$seed: ${failure.message}", failure)
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(SeededFault::class)
+    internal fun `Given a seeded fault, when fleets are fuzzed, then the oracle catches it`(fault: SeededFault) {
+        val seed = (1L..1_000L).firstOrNull { isCaught(it, fault) }
+        println("seeded fault $fault: caught with seed $seed")
+        assertNotNull(seed, "$fault was not caught")
+    }
+
+    private fun isCaught(seed: Long, fault: SeededFault): Boolean = try {
+        fuzzed(seed, fault)
+        false
+    } catch (_: AssertionError) {
+        true
+    }
+
+    private fun fuzzed(seed: Long, fault: SeededFault?): LedgerFleet {
+        val random = Random(seed)
+        val fleet = LedgerFleet(seed, fault)
+        repeat(80) { FleetAction.random(random).applyTo(fleet) }
+        return fleet
+    }
+
+    private fun seeds(): LongRange {
+        val (first, last) = System.getProperty(SEEDS, "1..300").split("..").map { it.toLong() }
+        return first..last
+    }
+
+    private companion object {
+        const val SEEDS = "cicadaarch.seeds"
+    }
+}
