Compare placement and admission policies in virtual time

Cause: decisions under load and churn could not be measured. Change: experiment command `policy`: engines with slots, prefill, decode and a token-limited LRU prefix cache, seeded chats, churn, and the real admission reducer in the loop beside three baselines.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -1,10 +1,13 @@
 package org.cicadaarch.experiment
 
 import kotlin.system.exitProcess
+import org.cicadaarch.experiment.policy.PolicyExperiment
 
 private const val EXIT_USAGE = 2
 
-private val experiments: List<Experiment> = listOf()
+private val experiments: List<Experiment> = listOf(
+    PolicyExperiment(),
+)
 
 /** Runs the experiment that the first argument names. */
 fun main(arguments: Array<String>) {
--- /dev/null
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
@@ -0,0 +1,26 @@
+package org.cicadaarch.experiment.policy
+
+import kotlin.time.Duration
+import org.cicadaarch.admission.PermitDemand
+import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.TargetId
+
+/**
+ * An ingress's search for a permit for one attempt, along [order].
+ */
+internal class Search(val attempt: AttemptId, val turn: Turn, val order: List<TargetId>) {
+    val tried = LinkedHashSet<TargetId>()
+    var asked: TargetId = order.first()
+    var unanswered = false
+
+    fun demand(fleet: FleetModel, timeAllowed: Duration = Duration.ZERO) = PermitDemand(
+        account = fleet.accountId(turn.account),
+        chat = fleet.chatId(turn.chat),
+        priority = fleet.priority,
+        timeAllowed = timeAllowed,
+        promptTokens = turn.promptTokens,
+        outputTokens = turn.outputTokens,
+        home = asked == order.first(),
+        returning = turn.returning,
+    )
+}
