Wire the ledger into the router and fuzz keyed requests with it

Cause: requests with an idempotency key waited for a claim that nobody granted. Change: the shard owners' and claimants' reducers join the router's reducer, their messages travel as peer messages, and store calls carry a token; the simulation has a store with outages and lost answers, and the fuzz sends keys again through other routers.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.ledger.LedgerMessage
 import org.cicadaarch.model.RouterId
 
 /**
@@ -21,6 +22,14 @@
     @Serializable
     data class ToIngress(val message: AdmissionMessage) : PeerMessage()
 
+    /** From the ingress of a keyed request to a shard owner of the ledger. */
+    @Serializable
+    data class ToShardOwner(val message: LedgerMessage.ForOwner) : PeerMessage()
+
+    /** From a shard owner of the ledger to the ingress of a keyed request. */
+    @Serializable
+    data class ToClaimant(val message: LedgerMessage.ForIngress) : PeerMessage()
+
     /** Keeps a connection alive and proves that it still carries data. */
     @Serializable
     data class Heartbeat(val number: Long) : PeerMessage()
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
@@ -1,9 +1,11 @@
 package org.cicadaarch.core
 
+import org.cicadaarch.ledger.LedgerNotice
 import org.cicadaarch.membership.MembershipEffect
 import org.cicadaarch.membership.MembershipMessage
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.request.IngressEffect
 
 /**
@@ -24,4 +26,10 @@
 
     /** Something about other routers that an operator may want to know. */
     data class MembershipNotice(val notice: MembershipEffect) : RouterEffect()
+
+    /** Sends [command] to the store; the answer comes back with [token]. */
+    data class Store(val token: StoreToken, val command: StoreCommand) : RouterEffect()
+
+    /** Something about the ledger that an operator may want to know. */
+    data class NoticeOfLedger(val notice: LedgerNotice) : RouterEffect()
 }
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
@@ -6,6 +6,7 @@
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.request.IngressEvent
 
 /**
@@ -30,6 +31,12 @@
     /** A target reported its load, some time ago. */
     data class LoadReported(val target: TargetId, val running: Int, val waiting: Int) : RouterEvent()
 
-    /** The periodic tick, every [RouterReducer.TICK_INTERVAL]. */
+    /** The store answered the call [token]. */
+    data class StoreAnswered(val token: StoreToken, val result: StoreResult) : RouterEvent()
+
+    /** The periodic tick of the ledger, every [RouterReducer.LEDGER_TICK_INTERVAL], with the wall clock. */
+    data class LedgerTick(val epochSeconds: Long) : RouterEvent()
+
+    /** The periodic tick of all other roles, every [RouterReducer.TICK_INTERVAL]. */
     data object Tick : RouterEvent()
 }
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -6,13 +6,25 @@
 import org.cicadaarch.admission.AdmissionEvent
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.admission.AdmissionReducer
+import org.cicadaarch.ledger.ClaimStanding
+import org.cicadaarch.ledger.ClaimantEffect
+import org.cicadaarch.ledger.ClaimantEvent
+import org.cicadaarch.ledger.ClaimantReducer
+import org.cicadaarch.ledger.LedgerEffect
+import org.cicadaarch.ledger.LedgerEvent
+import org.cicadaarch.ledger.LedgerReducer
 import org.cicadaarch.membership.MembershipEffect
 import org.cicadaarch.membership.MembershipEvent
 import org.cicadaarch.membership.MembershipReducer
+import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.Outcome
+import org.cicadaarch.model.RequestHead
+import org.cicadaarch.model.RequestId
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.Step
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.request.ClaimVerdict
 import org.cicadaarch.request.IngressEffect
 import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.request.IngressReducer
@@ -25,6 +37,8 @@
     private val ingressReducer: IngressReducer = IngressReducer(),
     private val admissionReducer: AdmissionReducer = AdmissionReducer(),
     private val membershipReducer: MembershipReducer = MembershipReducer(),
+    private val ledgerReducer: LedgerReducer = LedgerReducer(),
+    private val claimantReducer: ClaimantReducer = ClaimantReducer(),
 ) {
     /** The state and the effects after [event] at [now]. */
     fun reduce(state: RouterState, event: RouterEvent, now: Timestamp): Step<RouterState, RouterEffect> {
@@ -44,7 +58,12 @@
                 AdmissionEvent.LoadReported(event.target, event.running, event.waiting),
             )
 
+            is RouterEvent.StoreAnswered -> transition.storeAnswered(event)
+
+            is RouterEvent.LedgerTick -> transition.reduceLedger(LedgerEvent.Tick(event.epochSeconds))
+
             RouterEvent.Tick -> {
+                transition.reduceClaimant(ClaimantEvent.Tick)
                 transition.reduceMembership(MembershipEvent.Tick)
                 transition.reduceAdmission(AdmissionEvent.Tick)
                 transition.reduceIngress(IngressEvent.Tick)
@@ -62,6 +81,8 @@
             when (message) {
                 is PeerMessage.ToAdmissionOwner -> reduceAdmission(AdmissionEvent.Received(from, message.message))
                 is PeerMessage.ToIngress -> reduceIngress(IngressEvent.PermitAnswered(message.message))
+                is PeerMessage.ToShardOwner -> reduceLedger(LedgerEvent.Received(from, message.message))
+                is PeerMessage.ToClaimant -> reduceClaimant(ClaimantEvent.Received(from, message.message))
                 is PeerMessage.Hello, is PeerMessage.Heartbeat -> Unit
             }
         }
@@ -70,6 +91,8 @@
             state = state.copy(view = view)
             reduceAdmission(AdmissionEvent.RoutersChanged(view))
             reduceIngress(IngressEvent.RoutersChanged(view))
+            reduceLedger(LedgerEvent.RoutersChanged(view))
+            reduceClaimant(ClaimantEvent.RoutersChanged(view))
         }
 
         fun fleetChanged(event: RouterEvent.FleetChanged) {
@@ -117,10 +140,81 @@
             }
         }
 
+        fun reduceLedger(event: LedgerEvent) {
+            val step = ledgerReducer.reduce(state.ledger, event, now)
+            state = state.copy(ledger = step.state)
+            step.effects.forEach(::carryOut)
+        }
+
+        fun reduceClaimant(event: ClaimantEvent) {
+            val step = claimantReducer.reduce(state.claimant, event, now)
+            state = state.copy(claimant = step.state)
+            step.effects.forEach(::carryOut)
+        }
+
+        fun storeAnswered(event: RouterEvent.StoreAnswered) {
+            when (val token = event.token) {
+                is StoreToken.Ledger -> reduceLedger(LedgerEvent.StoreAnswered(token.token, event.result))
+            }
+        }
+
+        private fun carryOut(effect: LedgerEffect) {
+            when (effect) {
+                is LedgerEffect.Store -> effects += RouterEffect.Store(StoreToken.Ledger(effect.token), effect.command)
+
+                is LedgerEffect.Log -> effects += RouterEffect.NoticeOfLedger(effect.notice)
+
+                is LedgerEffect.Send -> if (effect.to == state.view.self) {
+                    reduceClaimant(ClaimantEvent.Received(effect.to, effect.message))
+                } else {
+                    effects += RouterEffect.SendToPeer(effect.to, PeerMessage.ToClaimant(effect.message))
+                }
+            }
+        }
+
+        private fun carryOut(effect: ClaimantEffect) {
+            when (effect) {
+                is ClaimantEffect.Granted -> answerClaim(effect.request, ClaimVerdict.Granted)
+
+                is ClaimantEffect.Refused -> answerClaim(effect.request, ClaimVerdict.Unavailable)
+
+                is ClaimantEffect.Denied -> answerClaim(effect.request, ClaimVerdict.Taken(outcomeOf(effect.standing)))
+
+                is ClaimantEffect.Send -> if (effect.to == state.view.self) {
+                    reduceLedger(LedgerEvent.Received(effect.to, effect.message))
+                } else {
+                    effects += RouterEffect.SendToPeer(effect.to, PeerMessage.ToShardOwner(effect.message))
+                }
+            }
+        }
+
+        private fun answerClaim(request: RequestId, verdict: ClaimVerdict) =
+            reduceIngress(IngressEvent.ClaimAnswered(request, verdict))
+
+        private fun claim(head: RequestHead) {
+            val keyed = head.idempotency as? Idempotency.Keyed ?: return
+            reduceClaimant(ClaimantEvent.Requested(head.id, head.account, keyed.key, head.timeAllowed))
+        }
+
+        private fun outcomeOf(standing: ClaimStanding): Outcome? = when (standing) {
+            ClaimStanding.RUNNING -> null
+            ClaimStanding.COMPLETED -> Outcome.COMPLETED
+            ClaimStanding.MAY_HAVE_RUN -> Outcome.MAY_HAVE_RUN
+        }
+
         private fun carryOut(effect: IngressEffect) {
             when (effect) {
                 is IngressEffect.SendToOwner -> sendToOwner(effect.to, effect.message)
-                else -> effects += RouterEffect.Ingress(effect)
+
+                is IngressEffect.Claim -> claim(effect.head)
+
+                is IngressEffect.FinishClaim -> reduceClaimant(ClaimantEvent.Ended(effect.head.id, effect.outcome))
+
+                is IngressEffect.StartAttempt,
+                is IngressEffect.CancelAttempt,
+                is IngressEffect.ProbeTarget,
+                is IngressEffect.EndRequest,
+                -> effects += RouterEffect.Ingress(effect)
             }
         }
 
@@ -148,7 +242,10 @@
     }
 
     companion object {
-        /** The time between two ticks. */
+        /** The time between two ticks of all roles but the ledger. */
         val TICK_INTERVAL: Duration = 100.milliseconds
+
+        /** The time between two ticks of the ledger. */
+        val LEDGER_TICK_INTERVAL: Duration = 20.milliseconds
     }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -66,7 +66,7 @@
         reducer = RouterReducer(
             membershipReducer = MembershipReducer(MembershipSettings(seed = self.hashCode().toLong())),
         ),
-        initialState = RouterState.initial(selfInfo, MonotonicClock.now()),
+        initialState = RouterState.initial(selfInfo, MonotonicClock.now(), MonotonicClock.epochSeconds()),
         carryOut = ::carryOut,
     )
     private val registry = ExchangeRegistry(
@@ -144,9 +144,19 @@
     private fun carryOut(effect: RouterEffect) {
         when (effect) {
             is RouterEffect.SendToPeer -> peers.send(effect.to, effect.message)
+
             is RouterEffect.SendDatagram -> datagrams.send(effect.to, effect.message)
+
             RouterEffect.FetchVirtualMachines -> fetchVirtualMachines()
+
             is RouterEffect.MembershipNotice -> log(effect.notice)
+
+            is RouterEffect.NoticeOfLedger -> LogEvents.info("ledger") { "notice" to effect.notice }
+
+            is RouterEffect.Store -> store.execute(effect.command) { result ->
+                loop.submit(RouterEvent.StoreAnswered(effect.token, result))
+            }
+
             is RouterEffect.Ingress -> carryOut(effect.effect)
         }
     }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
@@ -107,5 +107,6 @@
     private fun kindOf(message: PeerMessage): String = when (message) {
         is PeerMessage.Hello, is PeerMessage.Heartbeat -> "connection"
         is PeerMessage.ToAdmissionOwner, is PeerMessage.ToIngress -> "admission"
+        is PeerMessage.ToShardOwner, is PeerMessage.ToClaimant -> "ledger"
     }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.DefaultEventLoop
 import io.netty.util.concurrent.DefaultThreadFactory
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import org.cicadaarch.core.RouterEffect
 import org.cicadaarch.core.RouterEvent
 import org.cicadaarch.core.RouterReducer
@@ -26,8 +27,8 @@
 
     /** Starts the periodic tick. */
     fun start() {
-        val interval = RouterReducer.TICK_INTERVAL.inWholeMilliseconds
-        thread.scheduleAtFixedRate({ reduce(RouterEvent.Tick) }, interval, interval, TimeUnit.MILLISECONDS)
+        repeat(RouterReducer.TICK_INTERVAL) { RouterEvent.Tick }
+        repeat(RouterReducer.LEDGER_TICK_INTERVAL) { RouterEvent.LedgerTick(MonotonicClock.epochSeconds()) }
     }
 
     /** Hands [event] to the reducer, from any thread. */
@@ -39,6 +40,11 @@
         thread.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
+    private fun repeat(interval: Duration, event: () -> RouterEvent) {
+        val milliseconds = interval.inWholeMilliseconds
+        thread.scheduleAtFixedRate({ reduce(event()) }, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
+    }
+
     private fun reduce(event: RouterEvent) {
         try {
             val step = reducer.reduce(state, event, MonotonicClock.now())
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
@@ -9,6 +9,7 @@
 import org.cicadaarch.core.RouterReducer
 import org.cicadaarch.core.RouterState
 import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.RegionName
 import org.cicadaarch.model.RequestHead
 import org.cicadaarch.model.RequestId
@@ -32,7 +33,7 @@
     seed: Long,
     routerCount: Int,
     fleet: FleetDocument,
-    crashing: Set<org.cicadaarch.model.Fingerprint> = emptySet(),
+    crashing: Set<Fingerprint> = emptySet(),
     runTime: Duration = RUN_TIME,
     private val reducer: RouterReducer = RouterReducer(),
 ) {
@@ -42,6 +43,9 @@
     /** What happens to messages between routers. */
     val network: NetworkFaults = NetworkFaults(Random(seed))
 
+    /** The platform's store. */
+    val store: SimulatedStore = SimulatedStore(clock, Random(seed + 1))
+
     /** Every request that was sent to a router. */
     val requests: MutableMap<RequestId, SimulatedRequest> = linkedMapOf()
 
@@ -66,7 +70,8 @@
         routers.values.forEach { router ->
             updateView(router.info.id)
             router.dispatch(RouterEvent.FleetChanged(revision, fleet))
-            router.scheduleTick()
+            router.repeat(RouterReducer.TICK_INTERVAL) { RouterEvent.Tick }
+            router.repeat(RouterReducer.LEDGER_TICK_INTERVAL) { RouterEvent.LedgerTick(epochSeconds()) }
         }
     }
 
@@ -111,10 +116,12 @@
     /** The attempts that ran for [request] on all targets. */
     fun starts(request: RequestId): Int = targets.values.sumOf { it.starts(request) }
 
+    private fun epochSeconds(): Long = EPOCH_SECONDS + clock.now.milliseconds / MILLISECONDS_PER_SECOND
+
     private inner class SimulatedRouter(val info: RouterInfo) {
         var alive = true
             private set
-        var state = RouterState.initial(info, clock.now)
+        var state = RouterState.initial(info, clock.now, epochSeconds())
             private set
         private var frozenUntil: Timestamp? = null
         private val delayed = mutableListOf<() -> Unit>()
@@ -126,11 +133,11 @@
             step.effects.forEach(::carryOut)
         }
 
-        fun scheduleTick() {
-            clock.after(RouterReducer.TICK_INTERVAL) {
+        fun repeat(interval: Duration, event: () -> RouterEvent) {
+            clock.after(interval) {
                 if (alive) {
-                    dispatch(RouterEvent.Tick)
-                    scheduleTick()
+                    dispatch(event())
+                    repeat(interval, event)
                 }
             }
         }
@@ -169,8 +176,13 @@
 
                 is RouterEffect.Ingress -> carryOut(effect.effect)
 
+                is RouterEffect.Store -> store.execute(effect.command) { result ->
+                    dispatch(RouterEvent.StoreAnswered(effect.token, result))
+                }
+
                 is RouterEffect.SendDatagram,
                 is RouterEffect.MembershipNotice,
+                is RouterEffect.NoticeOfLedger,
                 RouterEffect.FetchVirtualMachines,
                 -> Unit
             }
@@ -224,5 +236,7 @@
         val RUN_TIME = 200.milliseconds
         val RESTART_TIME = 1.seconds
         val CONNECT_TIME = 1.milliseconds
+        const val EPOCH_SECONDS = 1_700_000_000L
+        const val MILLISECONDS_PER_SECOND = 1_000L
     }
 }
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/OutcomeChecker.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/OutcomeChecker.kt
@@ -23,6 +23,13 @@
                     allEnded && request.outcome == null && request.ingress in simulation.liveRouters
                 },
             ).map { "${request.head.id}: $it" }
+        } + keyViolations(simulation)
+
+    private fun keyViolations(simulation: FleetSimulation): List<String> = simulation.requests.values
+        .groupBy { (it.head.idempotency as? Idempotency.Keyed)?.key }
+        .mapNotNull { (key, requests) ->
+            val starts = requests.sumOf { simulation.starts(it.head.id) }
+            "key $key ran $starts times".takeIf { key != null && starts > 1 }
         }
 
     /** How many of the requests [ids] ended with [outcome]. */
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetOutcomeProperty.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetOutcomeProperty.kt
@@ -13,6 +13,7 @@
 import net.jqwik.api.state.ActionChain
 import net.jqwik.api.state.Transformer
 import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.IdempotencyKey
 import org.cicadaarch.model.RouterId
 
 /**
@@ -31,6 +32,9 @@
     @Provide
     fun chains(): Arbitrary<ActionChain<Run>> = ActionChain.startWith { Run() }
         .withAction(8, action("request") { it.request() })
+        .withAction(4, action("keyed request") { it.keyedRequest() })
+        .withAction(1, action("store outage") { it.storeOutage() })
+        .withAction(1, action("lose store answers") { it.loseStoreAnswers() })
         .withAction(1, action("crash a target") { it.crashTarget() })
         .withAction(1, action("kill a router") { it.killRouter() })
         .withAction(1, action("freeze a router") { it.freezeRouter() })
@@ -67,6 +71,22 @@
             simulation.arrive(router(), SimulationFixtures.head(requests++, idempotency))
         }
 
+        /** Of ten keys each is used several times, so that callers resend through other routers. */
+        fun keyedRequest() {
+            val key = IdempotencyKey("booking-${random.nextInt(10)}")
+            simulation.arrive(router(), SimulationFixtures.head(requests++, Idempotency.Keyed(key)))
+        }
+
+        fun storeOutage() {
+            simulation.store.isUp = false
+            simulation.clock.after(random.nextInt(100, 5_000).milliseconds) { simulation.store.isUp = true }
+        }
+
+        fun loseStoreAnswers() {
+            simulation.store.lostAnswers = 0.5
+            simulation.clock.after(2.seconds) { simulation.store.lostAnswers = 0.0 }
+        }
+
         fun crashTarget() = simulation.targets.values.random(random).let { if (it.isUp) it.crash() }
 
         fun killRouter() {
