--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
@@ -35,6 +35,7 @@
     fleet: FleetDocument,
     crashing: Set<Fingerprint> = emptySet(),
     runTime: Duration = RUN_TIME,
+    private val faults: Set<SeededFault> = emptySet(),
     private val reducer: RouterReducer = RouterReducer(),
 ) {
     /** The simulation's time. */
@@ -44,7 +45,11 @@
     val network: NetworkFaults = NetworkFaults(Random(seed))
 
     /** The platform's store. */
-    val store: SimulatedStore = SimulatedStore(clock, Random(seed + 1))
+    val store: SimulatedStore = SimulatedStore(
+        clock = clock,
+        random = Random(seed + 1),
+        ignoresConditions = SeededFault.STORE_IGNORES_CONDITIONS in faults,
+    )
 
     /** Every request that was sent to a router. */
     val requests: MutableMap<RequestId, SimulatedRequest> = linkedMapOf()
@@ -219,16 +224,24 @@
             connections[attempt] = effect.target
             target.start(attempt, requests.getValue(attempt.request).head) { completed ->
                 connections.remove(attempt)
-                report(
-                    if (completed) {
-                        IngressEvent.AttemptCompleted(attempt)
-                    } else {
-                        IngressEvent.AttemptFailed(attempt, AttemptFailure.ConnectionLost, delivered = 0)
-                    },
-                )
+                reportEnd(attempt, completed)
             }
         }
 
+        private fun reportEnd(attempt: AttemptId, completed: Boolean) {
+            val failure = if (SeededFault.LOST_CONNECTION_REPORTED_AS_NOT_MADE in faults) {
+                AttemptFailure.NotConnected
+            } else {
+                AttemptFailure.ConnectionLost
+            }
+            val event = if (completed) {
+                IngressEvent.AttemptCompleted(attempt)
+            } else {
+                IngressEvent.AttemptFailed(attempt, failure, delivered = 0)
+            }
+            report(event)
+        }
+
         private fun report(event: IngressEvent) = dispatch(RouterEvent.Ingress(event))
     }
 
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/SimulatedStore.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/SimulatedStore.kt
@@ -10,8 +10,14 @@
 
 /**
  * The platform's key-value service in virtual time: reads and conditional writes, outages and lost answers.
+ *
+ * One that [ignoresConditions] writes always, which a correct store never does.
  */
-class SimulatedStore(private val clock: VirtualClock, private val random: Random) {
+class SimulatedStore(
+    private val clock: VirtualClock,
+    private val random: Random,
+    private val ignoresConditions: Boolean = false,
+) {
     private val values = sortedMapOf<String, StoredValue>()
     private var revision = 0L
 
@@ -71,7 +77,7 @@
             ExpectedState.Absent -> current == null
             is ExpectedState.AtRevision -> current?.revision == expected.revision
         }
-        if (!holds) return StoreResult.Conflict(current)
+        if (!holds && !ignoresConditions) return StoreResult.Conflict(current)
         revision++
         val created = current?.createRevision ?: revision
         values[command.key] = StoredValue(command.key, command.value, created, revision)
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/SimulationFixtures.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/SimulatedWorkload.kt
@@ -21,10 +21,16 @@
 import org.cicadaarch.model.fleet.ServiceKind
 import org.cicadaarch.model.fleet.Target
 
-internal object SimulationFixtures {
-    val SERVICE = ServiceName("model")
-    val KILLER = Fingerprint(666)
+/**
+ * The configuration and the requests of simulated runs.
+ */
+object SimulatedWorkload {
+    private val SERVICE = ServiceName("model")
 
+    /** The fingerprint of requests that crash each target that runs them. */
+    val CRASHING: Fingerprint = Fingerprint(666)
+
+    /** One model with [targets] engines that run [capacity] requests each. */
     fun fleet(targets: Int = 6, capacity: Int = 4): FleetDocument = FleetDocument(
         regions = mapOf(RegionName("region") to listOf(ZoneName("zone"))),
         accounts = mapOf(AccountId("account") to Account(credentials = emptyList())),
@@ -32,7 +38,7 @@
         targets = (1..targets).associate { number ->
             TargetId("engine-$number") to Target(
                 service = SERVICE,
-                address = "127.0.0.1:${9_000 + number}",
+                address = "127.0.0.1:${FIRST_PORT + number}",
                 zone = ZoneName("zone"),
                 capacity = capacity,
             )
@@ -41,6 +47,7 @@
         activePreset = PresetName("ordinary"),
     )
 
+    /** Request [number], of one of forty chats. */
     fun head(
         number: Int,
         idempotency: Idempotency = Idempotency.Idempotent,
@@ -50,7 +57,7 @@
         id = RequestId("request-$number"),
         account = AccountId("account"),
         service = SERVICE,
-        chat = ChatId("chat-${number % 40}"),
+        chat = ChatId("chat-${number % CHATS}"),
         turn = 1,
         priority = Priority.STANDARD,
         idempotency = idempotency,
@@ -60,4 +67,7 @@
         fingerprint = fingerprint,
         streaming = false,
     )
+
+    private const val FIRST_PORT = 9_000
+    private const val CHATS = 40
 }
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetScenarioTest.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetScenarioTest.kt
@@ -6,10 +6,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.model.Outcome
-import org.cicadaarch.testkit.simulation.SimulationFixtures.head
+import org.cicadaarch.testkit.simulation.SimulatedWorkload.head
 
 class FleetScenarioTest {
-    private val simulation = FleetSimulation(seed = 1, routerCount = 7, fleet = SimulationFixtures.fleet())
+    private val simulation = FleetSimulation(seed = 1, routerCount = 7, fleet = SimulatedWorkload.fleet())
 
     @Test
     fun `Given no failure, when requests come at all routers, then each completes with one run`() {
