--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -1,12 +1,16 @@
 package org.cicadaarch.experiment
 
 import kotlin.system.exitProcess
+import org.cicadaarch.experiment.demonstration.DemonstrationExperiment
+import org.cicadaarch.experiment.demonstration.StandInsExperiment
 import org.cicadaarch.experiment.ledger.LedgerExperiment
 import org.cicadaarch.experiment.policy.PolicyExperiment
 
 private const val EXIT_USAGE = 2
 
 private val experiments: List<Experiment> = listOf(
+    DemonstrationExperiment(),
+    StandInsExperiment(),
     LedgerExperiment(),
     PolicyExperiment(),
 )
