Spread the fleet document's revisions over the routers

Cause: an accepted configuration must be in force everywhere within seconds and never revert, while the store is down, answers are lost or routers pause, and the store's calls must not grow with the fleet.

--- /dev/null
+++ b/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/spread/PackedDocumentSerializer.kt
@@ -0,0 +1,44 @@
+package org.cicadaarch.configuration.spread
+
+import java.io.ByteArrayOutputStream
+import java.util.zip.DeflaterOutputStream
+import java.util.zip.InflaterInputStream
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ByteArraySerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+import kotlinx.serialization.json.Json
+import org.cicadaarch.model.fleet.FleetDocument
+
+/**
+ * Writes a fleet document as bytes of deflated JSON: its names repeat, so this is a tenth of the plain form.
+ */
+object PackedDocumentSerializer : KSerializer<FleetDocument> {
+    private val bytes = ByteArraySerializer()
+    private val json = Json { encodeDefaults = false }
+
+    // Bounds what a faulty peer can make this router allocate; the store's values end at a megabyte.
+    private const val LONGEST_JSON_BYTES = 8 * 1024 * 1024
+
+    override val descriptor: SerialDescriptor = SerialDescriptor("PackedDocument", bytes.descriptor)
+
+    override fun serialize(encoder: Encoder, value: FleetDocument) =
+        encoder.encodeSerializableValue(bytes, deflate(json.encodeToString(FleetDocument.serializer(), value)))
+
+    override fun deserialize(decoder: Decoder): FleetDocument =
+        json.decodeFromString(FleetDocument.serializer(), inflate(decoder.decodeSerializableValue(bytes)))
+
+    private fun deflate(text: String): ByteArray {
+        val packed = ByteArrayOutputStream()
+        DeflaterOutputStream(packed).use { it.write(text.toByteArray()) }
+        return packed.toByteArray()
+    }
+
+    private fun inflate(packed: ByteArray): String {
+        val text = InflaterInputStream(packed.inputStream()).use { it.readNBytes(LONGEST_JSON_BYTES + 1) }
+        if (text.size > LONGEST_JSON_BYTES) throw SerializationException("document above $LONGEST_JSON_BYTES bytes")
+        return text.decodeToString()
+    }
+}
--- /dev/null
+++ b/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/spread/Question.kt
@@ -0,0 +1,9 @@
+package org.cicadaarch.configuration.spread
+
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Timestamp
+
+/**
+ * Routers in several zones were asked for their revisions; the answers of [unanswered] are awaited until [until].
+ */
+data class Question(val unanswered: Set<RouterId>, val until: Timestamp)
--- /dev/null
+++ b/cicadaarch-configuration/src/test/kotlin/org/cicadaarch/configuration/spread/SmallDocuments.kt
@@ -0,0 +1,33 @@
+package org.cicadaarch.configuration.spread
+
+import org.cicadaarch.configuration.ExampleDocuments
+import org.cicadaarch.configuration.FleetDocumentChecker
+import org.cicadaarch.configuration.FleetDocumentWriter
+import org.cicadaarch.model.fleet.Preset
+
+/**
+ * Texts of small documents that differ by number, and an invalid one.
+ */
+object SmallDocuments {
+    const val INVALID = "regions: {}\n"
+
+    private val base = ExampleDocuments.gridSetters.let { document ->
+        val target = document.targets.entries.first()
+        document.copy(
+            accounts = document.accounts.entries.take(1).associate { it.toPair() },
+            services = document.services.filterKeys { it == target.value.service },
+            targets = mapOf(target.toPair()),
+            presets = FleetDocumentChecker.PRESET_NAMES.associateWith { Preset() },
+        )
+    }
+
+    fun text(number: Int): String {
+        val weight = number / FleetDocumentChecker.PRESET_NAMES.size + 1
+        return FleetDocumentWriter.write(
+            base.copy(
+                accounts = base.accounts.mapValues { it.value.copy(weight = weight) },
+                activePreset = FleetDocumentChecker.PRESET_NAMES[number % FleetDocumentChecker.PRESET_NAMES.size],
+            ),
+        )
+    }
+}
