--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -1,10 +1,13 @@
 package org.cicadaarch.experiment
 
 import kotlin.system.exitProcess
+import org.cicadaarch.experiment.membership.MembershipExperiment
 
 private const val EXIT_USAGE = 2
 
-private val experiments: List<Experiment> = listOf()
+private val experiments: List<Experiment> = listOf(
+    MembershipExperiment(),
+)
 
 /** Runs the experiment that the first argument names. */
 fun main(arguments: Array<String>) {
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ProbingNode.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ProbingNode.kt
@@ -1,8 +1,5 @@
 package org.cicadaarch.experiment.membership
 
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.builtins.ListSerializer
-import kotlinx.serialization.cbor.Cbor
 import org.cicadaarch.membership.ListedVm
 import org.cicadaarch.membership.MembershipCodec
 import org.cicadaarch.membership.MembershipEffect
@@ -45,9 +42,7 @@
 
     override fun depart(now: Timestamp): NodeOutput<MembershipMessage> = reduce(MembershipEvent.LeaveCompleted, now)
 
-    @OptIn(ExperimentalSerializationApi::class)
-    override fun stateBytes(): Int =
-        Cbor.encodeToByteArray(ListSerializer(RouterInfo.serializer()), state.members.values.toList()).size
+    override fun stateBytes(): Int = StateSize.of(view)
 
     private fun reduce(event: MembershipEvent, now: Timestamp): NodeOutput<MembershipMessage> {
         val step = reducer.reduce(state, event, now)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/SimulatedFleet.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/SimulatedFleet.kt
@@ -1,7 +1,9 @@
 package org.cicadaarch.experiment.membership
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.membership.ListedVm
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterInfo
 import org.cicadaarch.model.Timestamp
@@ -75,6 +77,9 @@
     /** The running process on VM [index]. */
     fun infoOf(index: Int): RouterInfo = checkNotNull(current[index]) { "no process runs on VM $index" }
 
+    /** The process that runs at [address], if any. */
+    fun runningAt(address: RouterAddress): RouterInfo? = current.firstOrNull { it?.address == address }
+
     /** Whether a process runs on VM [index]. */
     fun runs(index: Int): Boolean = current[index] != null
 
@@ -101,6 +106,6 @@
     }
 
     private companion object {
-        val LOOK_PERIOD = Duration.parse("100ms")
+        val LOOK_PERIOD = 100.milliseconds
     }
 }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Dissemination.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Dissemination.kt
@@ -1,8 +1,9 @@
 package org.cicadaarch.membership
 
 import kotlin.math.ceil
-import kotlin.math.log2
+import kotlin.math.log10
 import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.Timestamp
 
 /**
  * Spreads updates on the messages that are sent anyway, each a bounded number of times and the least sent first.
@@ -10,7 +11,7 @@
 internal class Dissemination(private val settings: MembershipSettings) {
     /** The state in which [update] replaces any queued update on the same router. */
     fun queued(state: MembershipState, update: MemberUpdate): MembershipState =
-        state.copy(updates = state.updates.put(update.id, QueuedUpdate(update)))
+        state.copy(updates = state.updates.put(update.id, QueuedUpdate(update, state.schedule.lastTick)))
 
     /** The updates that fit in [bytes], without one on [except], and the state that has counted them as sent. */
     fun take(state: MembershipState, bytes: Int, except: RouterId?): Pair<MembershipState, List<MemberUpdate>> {
@@ -19,6 +20,19 @@
         return state.copy(updates = counted(state, chosen)) to chosen.map { it.update }
     }
 
+    /**
+     * The state without accusations that waited too long: a router that was cut off must not accuse, once it is back,
+     * all those that it had missed.
+     */
+    fun withoutOldAccusations(state: MembershipState, now: Timestamp): MembershipState {
+        val old = state.updates.values.filter { it.isAccusation() && it.queuedAt + settings.accusationLife < now }
+        if (old.isEmpty()) return state
+        return state.copy(updates = state.updates.builder().apply { old.forEach { remove(it.update.id) } }.build())
+    }
+
+    private fun QueuedUpdate.isAccusation(): Boolean =
+        update.status == MemberStatus.SUSPECT || update.status == MemberStatus.REMOVED
+
     private fun fitting(candidates: List<QueuedUpdate>, bytes: Int): List<QueuedUpdate> {
         var left = bytes
         return candidates.takeWhile { candidate ->
@@ -39,7 +53,7 @@
     }.build()
 
     private fun transmissionLimit(members: Int): Int =
-        settings.disseminationMultiplier * ceil(log2(members + 2.0)).toInt()
+        ceil(settings.disseminationMultiplier * maxOf(1.0, log10(members + 1.0))).toInt()
 
     private companion object {
         /** Departures go first, so that the next process at the same address meets no conflict. */
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipCodec.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipCodec.kt
@@ -1,7 +1,6 @@
 package org.cicadaarch.membership
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
 /**
@@ -22,11 +21,11 @@
     /** The message in [datagram], or null when it is not one. */
     fun decode(datagram: ByteArray): MembershipMessage? = try {
         format.decodeFromByteArray(MembershipMessage.serializer(), datagram)
-    } catch (_: SerializationException) {
+    } catch (_: RuntimeException) {
+        // The format reports bad input by several types, IllegalStateException among them.
         null
-    } catch (_: IllegalArgumentException) {
-        null
-    } catch (_: IndexOutOfBoundsException) {
+    } catch (_: StackOverflowError) {
+        // The format recurses without end on some bad input.
         null
     }
 }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
@@ -36,7 +36,7 @@
             is MembershipEvent.Received -> receiver.receive(state, event.from, event.message, now)
             is MembershipEvent.ListFetched -> Step(reconciler.fetched(state, event.entries))
             is MembershipEvent.RevisionInstalled -> Step(state.copy(revision = event.revision))
-            MembershipEvent.LeaveRequested -> Step(leaving(state, now))
+            MembershipEvent.LeaveRequested -> Step(leaving(state))
             MembershipEvent.LeaveCompleted -> departed(state)
             MembershipEvent.Tick -> ticked(state, now)
         }
@@ -48,15 +48,14 @@
         .then { prober.startDue(it, now) }
         .then { reconciler.contactDue(it, now) }
         .then { reconciler.fetchDue(it, now) }
-        .then { Step(registry.cleanup(it, now)) }
+        .then { Step(dissemination.withoutOldAccusations(registry.cleanup(it, now), now)) }
         .then { views.project(it, now) }
 
-    private fun leaving(state: MembershipState, now: Timestamp): MembershipState {
+    private fun leaving(state: MembershipState): MembershipState {
         if (state.self.leaving) return state
         val leaving = state.copy(
             self = state.self.copy(leaving = true),
             incarnation = state.incarnation + 1,
-            changedAt = now,
         )
         return dissemination.queued(leaving, leaving.selfUpdate())
     }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
@@ -21,8 +21,10 @@
     val helpers: Int = 3,
     /** Probe periods, per decimal digit of the fleet's size, that a suspected router has to refute. */
     val suspicionMultiplier: Double = 4.0,
-    /** Transmissions of an update by each router, per binary digit of the fleet's size. */
-    val disseminationMultiplier: Int = 3,
+    /** Transmissions of an update by each router, per decimal digit of the fleet's size. */
+    val disseminationMultiplier: Double = 4.0,
+    /** Time after which a suspicion or removal is no longer passed on. */
+    val accusationLife: Duration = 15.seconds,
     /** Greatest size of an encoded message, in bytes. */
     val packetLimit: Int = 1_200,
     /** Time between two probes of addresses that are listed but not members. */
@@ -43,10 +45,8 @@
     val tombstoneRetention: Duration = 10.minutes,
     /** Least time between two comparisons of the member tables with another router. */
     val syncPeriod: Duration = 5.seconds,
-    /** The same while a starting router has not yet read a whole table. */
+    /** The same while a starting router knows less than half of the listed VMs. */
     val joinSyncPeriod: Duration = 500.milliseconds,
-    /** Time without a change after which differing table digests are a reason to compare the tables. */
-    val settlePeriod: Duration = 3.seconds,
     /** Gap between two ticks above which the process counts as paused. */
     val pauseThreshold: Duration = 1.seconds,
     /** Upper bound of the local health score; 0 is healthy. */
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
@@ -28,7 +28,6 @@
     internal val table: MemberTable = MemberTable(),
     internal val viewedTable: MemberTable = table,
     internal val viewChangesAt: Timestamp? = null,
-    internal val changedAt: Timestamp = schedule.lastTick,
     internal val tombstones: PersistentMap<RouterId, Tombstone> = persistentMapOf(),
     internal val removals: PersistentMap<RouterAddress, RemovalHistory> = persistentMapOf(),
     internal val suspicions: PersistentMap<RouterId, Timestamp> = persistentMapOf(),
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/QueuedUpdate.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/QueuedUpdate.kt
@@ -1,6 +1,8 @@
 package org.cicadaarch.membership
 
+import org.cicadaarch.model.Timestamp
+
 /**
- * An update in dissemination that was sent [transmissions] times so far.
+ * An update in dissemination since [queuedAt] that was sent [transmissions] times so far.
  */
-internal data class QueuedUpdate(val update: MemberUpdate, val transmissions: Int = 0)
+internal data class QueuedUpdate(val update: MemberUpdate, val queuedAt: Timestamp, val transmissions: Int = 0)
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Receiver.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Receiver.kt
@@ -85,7 +85,7 @@
     private fun heard(state: MembershipState, message: MembershipMessage, now: Timestamp): MembershipStep {
         val sender = message.sender
         if (sender.id !in state.table) {
-            return contactUnknown(merger.applyOwn(state, message.updates, now), message, now)
+            return contactUnknown(merger.applyOwn(state, message.updates), message, now)
         }
         val own = MemberUpdate(sender.id, sender.incarnation, MemberStatus.ALIVE, sender.profile)
         return merger.apply(state, listOf(own) + message.updates, now).then { digestHeard(it, sender) }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Registry.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Registry.kt
@@ -25,18 +25,16 @@
             table = state.table.with(member),
             tombstones = state.tombstones.remove(info.id),
             probeOrder = state.probeOrder.add(info.id),
-            changedAt = now,
         )
         return Step(spreadIf(spread, joined, member.toUpdate()), listOf(MemberJoined(info)))
     }
 
     /** Replaces the record of a member by a later one, which refutes any suspicion. */
-    fun renew(state: MembershipState, later: Member, spread: Boolean, now: Timestamp): MembershipStep {
+    fun renew(state: MembershipState, later: Member, spread: Boolean): MembershipStep {
         val id = later.info.id
         val renewed = state.copy(
             table = state.table.with(later),
             suspicions = state.suspicions.remove(id),
-            changedAt = now,
         )
         val refuted = MembershipEffect.SuspicionRefuted(id, later.incarnation).takeIf { id in state.suspicions }
         return Step(spreadIf(spread, renewed, later.toUpdate()), listOfNotNull(refuted))
@@ -60,7 +58,6 @@
             suspicions = state.suspicions.remove(id),
             revisions = state.revisions.remove(id),
             workingHelpers = state.workingHelpers.remove(id),
-            changedAt = now,
         )
         return Step(dissemination.queued(removed, tombstone.toUpdate()), listOf(MemberRemoved(member.info, reason)))
     }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Suspicions.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Suspicions.kt
@@ -2,6 +2,7 @@
 
 import kotlin.math.log10
 import kotlin.time.Duration
+import kotlinx.collections.immutable.toPersistentMap
 import org.cicadaarch.membership.MembershipEffect.MemberSuspected
 import org.cicadaarch.model.Step
 import org.cicadaarch.model.Timestamp
@@ -31,9 +32,9 @@
     }
 
     /** Raises this router's own incarnation above the [accused] one and tells others. */
-    fun refuteOwn(state: MembershipState, accused: Long, now: Timestamp): MembershipState {
+    fun refuteOwn(state: MembershipState, accused: Long): MembershipState {
         if (accused < state.incarnation) return state
-        val refuted = state.copy(incarnation = accused + 1, changedAt = now)
+        val refuted = state.copy(incarnation = accused + 1)
         return dissemination.queued(refuted, refuted.selfUpdate())
     }
 
@@ -50,7 +51,7 @@
 
     /** Gives each suspected member [extension] more time. */
     fun extended(state: MembershipState, extension: Duration): MembershipState = state.copy(
-        suspicions = state.suspicions.builder().apply { entries.forEach { it.setValue(it.value + extension) } }.build(),
+        suspicions = state.suspicions.mapValues { it.value + extension }.toPersistentMap(),
     )
 
     private fun timeToRefute(state: MembershipState): Duration {
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/TableSync.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/TableSync.kt
@@ -19,10 +19,9 @@
 ) {
     /** Asks the router at [from] for its records when its digest says that they differ and it is time to. */
     fun startIfDifferent(state: MembershipState, from: RouterAddress, sender: Sender, now: Timestamp): MembershipStep {
-        val settled = !sender.suspects && state.changedAt + settings.settlePeriod <= now
-        val wanted = if (state.sync.everCompleted) settled else true
+        val aboutToChange = sender.suspects && !isFarBehind(state)
         val due = state.schedule.sync <= now && sender.tableDigest != state.tableDigest()
-        return if (wanted && due) ask(state, from, now) else Step(state)
+        return if (due && !aboutToChange) ask(state, from, now) else Step(state)
     }
 
     /** Answers [request] of the router at [from]. */
@@ -39,11 +38,11 @@
 
     /** Takes in the records of [reply] and asks the router at [from] for the next ones. */
     fun received(state: MembershipState, reply: SyncReply, from: RouterAddress, now: Timestamp): MembershipStep {
-        val reached = SyncProgress(reply.buckets, reply.next, state.sync.everCompleted)
+        val reached = SyncProgress(reply.buckets, reply.next)
         val duplicate = reply.buckets <= state.sync.buckets && reply.next <= state.sync.next
         return merger.applyRecords(state, reply.records, now).then { merged ->
             when {
-                reply.next >= reply.buckets -> Step(merged.copy(sync = SyncProgress(everCompleted = true)))
+                reply.next >= reply.buckets -> Step(merged.copy(sync = SyncProgress()))
                 duplicate -> Step(merged)
                 else -> ask(merged.copy(sync = reached), from, now)
             }
@@ -53,7 +52,7 @@
     private fun ask(state: MembershipState, to: RouterAddress, now: Timestamp): MembershipStep {
         val buckets = maxOf(state.sync.buckets, bucketsFor(state))
         val first = if (buckets == state.sync.buckets) state.sync.next else 0
-        val period = if (state.sync.everCompleted) settings.syncPeriod else settings.joinSyncPeriod
+        val period = if (isFarBehind(state)) settings.joinSyncPeriod else settings.syncPeriod
         val asking = state.copy(
             sync = state.sync.copy(buckets = buckets, next = first),
             schedule = state.schedule.copy(sync = now + period),
@@ -116,6 +115,9 @@
         return digests.asList()
     }
 
+    /** Whether this router has just started: it knows less than half of what is listed. */
+    private fun isFarBehind(state: MembershipState): Boolean = (state.table.size + 1) * 2 < state.list.size
+
     private fun bucketsFor(state: MembershipState): Int =
         maxOf(1, (state.table.size + 1) / RECORDS_PER_BUCKET).takeHighestOneBit().coerceAtMost(MAXIMUM_BUCKETS)
 
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/UpdateMerger.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/UpdateMerger.kt
@@ -7,8 +7,8 @@
 /**
  * Applies what other routers tell of third ones: greater incarnations win, and at the same one the worse status.
  *
- * A removal told by others starts a suspicion where there is none yet, so that a router is never taken out without
- * the time to refute; after a cut between regions each side tells the other that its routers are removed.
+ * A removal told by others counts only where the member is suspected already; else the member becomes doubtful and is
+ * probed first. After a cut between regions each side tells the other that its routers are removed.
  */
 internal class UpdateMerger(
     private val registry: Registry,
@@ -21,8 +21,8 @@
         updates.steps(state) { current, update -> applyNews(current, update, now) }
 
     /** Applies only those of [updates] that accuse this router itself. */
-    fun applyOwn(state: MembershipState, updates: List<MemberUpdate>, now: Timestamp): MembershipState =
-        updates.filter { it.id == state.self.id }.fold(state) { current, update -> heardOfSelf(current, update, now) }
+    fun applyOwn(state: MembershipState, updates: List<MemberUpdate>): MembershipState =
+        updates.filter { it.id == state.self.id }.fold(state) { current, update -> heardOfSelf(current, update) }
 
     /** Applies [records] of another router's table; a removal there makes the member doubtful, to be probed first. */
     fun applyRecords(state: MembershipState, records: List<MemberUpdate>, now: Timestamp): MembershipStep =
@@ -30,19 +30,19 @@
             when (record.status) {
                 MemberStatus.ALIVE -> alive(current, record, spread = false, now)
                 MemberStatus.DEPARTED -> departed(current, record, RemovalReason.DEPARTED, now)
-                MemberStatus.REMOVED, MemberStatus.SUSPECT -> Step(withDoubt(current, record, now))
+                MemberStatus.REMOVED, MemberStatus.SUSPECT -> Step(withDoubt(current, record))
             }
         }
 
     private fun applyNews(state: MembershipState, update: MemberUpdate, now: Timestamp): MembershipStep = when {
-        update.id == state.self.id -> Step(heardOfSelf(state, update, now))
+        update.id == state.self.id -> Step(heardOfSelf(state, update))
         update.status == MemberStatus.ALIVE -> alive(state, update, spread = true, now)
         update.status == MemberStatus.DEPARTED -> departed(state, update, RemovalReason.DEPARTED, now)
         else -> accused(state, update, now)
     }
 
-    private fun heardOfSelf(state: MembershipState, update: MemberUpdate, now: Timestamp): MembershipState =
-        if (update.status == MemberStatus.ALIVE) state else suspicions.refuteOwn(state, update.incarnation, now)
+    private fun heardOfSelf(state: MembershipState, update: MemberUpdate): MembershipState =
+        if (update.status == MemberStatus.ALIVE) state else suspicions.refuteOwn(state, update.incarnation)
 
     private fun alive(state: MembershipState, update: MemberUpdate, spread: Boolean, now: Timestamp): MembershipStep {
         val info = update.profile?.toInfo(update.id) ?: return Step(state)
@@ -50,7 +50,7 @@
         val tombstone = state.tombstones[update.id]
         return when {
             update.id == state.self.id -> Step(state)
-            member != null -> renewed(state, member, info, update, spread, now)
+            member != null -> renewed(state, member, info, update, spread)
             tombstone != null && !tombstone.yieldsTo(update) -> Step(state)
             info.address == state.self.address -> Step(predecessorDeparted(state, info, update, now))
             state.table.at(info.address) != null -> prober.contact(state, info.address, now)
@@ -64,10 +64,9 @@
         info: RouterInfo,
         update: MemberUpdate,
         spread: Boolean,
-        now: Timestamp,
     ): MembershipStep {
         if (update.incarnation <= member.incarnation) return Step(state)
-        return registry.renew(state, member.copy(info = info, incarnation = update.incarnation), spread, now)
+        return registry.renew(state, member.copy(info = info, incarnation = update.incarnation), spread)
     }
 
     /** This process has the address now, so the process that had it before is gone. */
@@ -94,16 +93,17 @@
 
     private fun accused(state: MembershipState, update: MemberUpdate, now: Timestamp): MembershipStep {
         val member = state.table[update.id] ?: return Step(state)
-        val confirmed = update.status == MemberStatus.REMOVED && update.id in state.suspicions
+        val removal = update.status == MemberStatus.REMOVED
         return when {
             update.incarnation < member.incarnation -> Step(state)
-            confirmed -> registry.remove(state, member, update.incarnation, RemovalReason.UNREACHABLE, now)
-            else -> suspicions.suspect(state, member, update.incarnation, now)
+            !removal -> suspicions.suspect(state, member, update.incarnation, now)
+            update.id !in state.suspicions -> Step(withDoubt(state, update))
+            else -> registry.remove(state, member, update.incarnation, RemovalReason.UNREACHABLE, now)
         }
     }
 
-    private fun withDoubt(state: MembershipState, record: MemberUpdate, now: Timestamp): MembershipState {
-        if (record.id == state.self.id) return heardOfSelf(state, record, now)
+    private fun withDoubt(state: MembershipState, record: MemberUpdate): MembershipState {
+        if (record.id == state.self.id) return heardOfSelf(state, record)
         val member = state.table[record.id] ?: return state
         val known = record.incarnation < member.incarnation || record.id in state.doubtful
         return if (known) state else state.copy(doubtful = state.doubtful.add(record.id))
--- /dev/null
+++ b/cicadaarch-membership/src/test/kotlin/org/cicadaarch/membership/MembershipCodecTest.kt
@@ -0,0 +1,70 @@
+package org.cicadaarch.membership
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.membership.MembershipMessage.Ack
+import org.cicadaarch.membership.MembershipMessage.Gossip
+import org.cicadaarch.membership.MembershipMessage.IndirectAck
+import org.cicadaarch.membership.MembershipMessage.Ping
+import org.cicadaarch.membership.MembershipMessage.PingRequest
+import org.cicadaarch.membership.MembershipMessage.SyncReply
+import org.cicadaarch.membership.MembershipMessage.SyncRequest
+import org.cicadaarch.model.Revision
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
+
+class MembershipCodecTest {
+    @ParameterizedTest
+    @MethodSource("messages")
+    fun `Given a message, when it is encoded, then it decodes to the same and no prefix of it breaks the decoder`(
+        message: MembershipMessage,
+    ) {
+        val datagram = MembershipCodec.encode(message)
+        assertEquals(message, MembershipCodec.decode(datagram))
+        datagram.indices.forEach { MembershipCodec.decode(datagram.copyOf(it)) }
+    }
+
+    @Test
+    fun `Given random bytes, when they are decoded, then no failure escapes`() {
+        val random = Random(1)
+        repeat(20_000) { MembershipCodec.decode(random.nextBytes(random.nextInt(64))) }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 16, 60])
+    fun `Given two thousand members with long names, when all are news, then no datagram is over the limit`(
+        nameLength: Int,
+    ) {
+        val driver = RouterDriver()
+        val teller = router("teller").also { driver.join(it) }
+        repeat(2_000) { index ->
+            val name = index.toString().padStart(nameLength, 'ü')
+            driver.gossip(teller, update(router(name), Long.MAX_VALUE, MemberStatus.ALIVE))
+        }
+        val request = SyncRequest(driver.sender(teller), buckets = 1_024, first = 0, digests = List(32) { it })
+        val sent = driver.run(20.seconds).sends() + driver.receive(request).sends()
+        val greatest = sent.maxOf { MembershipCodec.encode(it.message).size }
+        assertContains(800..MembershipSettings().packetLimit, greatest)
+    }
+
+    companion object {
+        private val sender = Sender(router("a").id, 3, MemberProfile.of(router("a")), -7, Revision(12), suspects = true)
+        private val updates = MemberStatus.entries.map { update(router("b"), Long.MAX_VALUE, it) }
+
+        @JvmStatic
+        fun messages(): List<MembershipMessage> = listOf(
+            Ping(sender, sequence = 1, updates = updates),
+            Ack(sender, sequence = Int.MAX_VALUE),
+            PingRequest(sender, sequence = 2, host = "10.0.0.1", port = 7_400, updates = updates),
+            IndirectAck(sender, sequence = 2, reached = updates.last()),
+            IndirectAck(sender, sequence = 2, reached = null, updates = updates),
+            Gossip(sender, updates),
+            SyncRequest(sender, buckets = 64, first = 32, digests = listOf(0, -1, Int.MIN_VALUE)),
+            SyncReply(sender, buckets = 64, next = 40, records = updates),
+        )
+    }
+}
