--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -5,6 +5,7 @@
 import org.cicadaarch.experiment.demonstration.StandInsExperiment
 import org.cicadaarch.experiment.ledger.LedgerExperiment
 import org.cicadaarch.experiment.policy.PolicyExperiment
+import org.cicadaarch.experiment.membership.MembershipExperiment
 
 private const val EXIT_USAGE = 2
 
@@ -13,6 +14,7 @@
     StandInsExperiment(),
     LedgerExperiment(),
     PolicyExperiment(),
+    MembershipExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
