Let idle shards write claims at once and let finishes wait for company

Change: bursts of five segments before pacing, finishes without claims do not count and wait up to 5 s; a finish that is not yet written already answers a resend.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/ledger/LedgerPolicy.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/ledger/LedgerPolicy.kt
@@ -20,16 +20,16 @@
         label = "grouped, no interval",
         settings = LedgerSettings(writeInterval = Duration.ZERO),
     ),
-    GROUPED_50(
-        label = "grouped, 50 ms",
-        settings = LedgerSettings(writeInterval = 50.milliseconds),
+    GROUPED_PACED(
+        label = "grouped, 200 ms, burst 1",
+        settings = LedgerSettings(writeBurst = 1),
     ),
-    GROUPED_200(
-        label = "grouped, 200 ms",
+    GROUPED_BURST(
+        label = "grouped, 200 ms, burst 5",
         settings = LedgerSettings(),
     ),
-    GROUPED_500(
-        label = "grouped, 500 ms",
+    GROUPED_SLOW(
+        label = "grouped, 500 ms, burst 5",
         settings = LedgerSettings(writeInterval = 500.milliseconds),
     ),
 }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/ledger/LedgerSimulation.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/ledger/LedgerSimulation.kt
@@ -38,6 +38,7 @@
     private class Node(val id: RouterId, var ledger: LedgerState, var claimant: ClaimantState)
 
     private val random = Random(seed)
+    private val arrivals = Random(seed)
     private val time = VirtualTime()
     private val ledgerReducer = LedgerReducer(policy.settings)
     private val claimantReducer = ClaimantReducer(ClaimantSettings(shards = policy.settings.shards))
@@ -79,11 +80,11 @@
 
     private fun arrive() {
         if (time.now >= seconds * MICROSECONDS) return
-        val node = nodes.random(random)
-        val request = RequestId("%016x-%08x".format(random.nextLong(), requests++))
+        val node = nodes.random(arrivals)
+        val request = RequestId("%016x-%08x".format(arrivals.nextLong(), requests++))
         askedAt[request] = time.now
         onClaimant(node, ClaimantEvent.Requested(request, ACCOUNT, IdempotencyKey(request.value), TIME_ALLOWED))
-        time.after((-ln(1.0 - random.nextDouble()) / claimsPerSecond * MICROSECONDS).toLong()) { arrive() }
+        time.after((-ln(1.0 - arrivals.nextDouble()) / claimsPerSecond * MICROSECONDS).toLong()) { arrive() }
     }
 
     private fun tick(node: Node, number: Int) {
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ClaimAnswers.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ClaimAnswers.kt
@@ -60,7 +60,11 @@
         holder: Claim,
         time: LedgerTime,
     ): Step<ShardState, LedgerEffect> {
-        if (holder.nonce in shard.reports) return told(shard, waiting)
+        val report = shard.reports[holder.nonce]?.record
+        if (report is LedgerRecord.Finished) {
+            return answered(shard, waiting, ClaimDenied(waiting.claim, standingOf(report.result), report.digest))
+        }
+        if (report != null) return told(shard, waiting)
         val inquiry = shard.inquiries[holder.nonce]
         if (inquiry != null && time.now - inquiry.heardAt >= settings.ingressLease) {
             return answered(shard, waiting, ClaimDenied(waiting.claim, ClaimStanding.MAY_HAVE_RUN))
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ClaimantSettings.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ClaimantSettings.kt
@@ -13,6 +13,6 @@
 data class ClaimantSettings(
     val shards: Int = LedgerSettings().shards,
     val askInterval: Duration = 500.milliseconds,
-    val reportInterval: Duration = 3.seconds,
+    val reportInterval: Duration = 10.seconds,
     val maximumClaims: Int = 10_000,
 )
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerSettings.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerSettings.kt
@@ -7,12 +7,13 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Settings of the ledger, equal on every router. [shards] and [slots] must never change while a ledger is in the store.
+ * Settings of the ledger, equal on every router. [shards] and [slots] must never change while a ledger is stored.
  *
- * A key is remembered for [window] after its last change, and for [clockAllowance] more as routers' clocks may differ.
- * [writeInterval] is the least time between two segments of a shard; [reportDelay] is how long a finished claim may
- * wait for other records to share a segment. An earlier request whose ingress is silent for [ingressLease] is taken to
- * have run. A snapshot is written after [snapshotInterval] segments and stays under [maximumSnapshotBytes].
+ * A key is remembered for [window] after its last change, and for [clockAllowance] more as routers' clocks may differ
+ * and a claim may be granted some time after it was written. Segments with claims are written at most every
+ * [writeInterval] in the long run, and [writeBurst] of them at once; a finished claim waits up to [reportDelay] for a
+ * claim to share a segment with. An earlier request whose ingress is silent for [ingressLease] is taken to have run. A
+ * snapshot is written after [snapshotInterval] segments and stays under [maximumSnapshotBytes].
  */
 data class LedgerSettings(
     val shards: Int = 64,
@@ -21,7 +22,8 @@
     val window: Duration = 24.hours,
     val clockAllowance: Duration = 10.minutes,
     val writeInterval: Duration = 200.milliseconds,
-    val reportDelay: Duration = 1.seconds,
+    val writeBurst: Int = 5,
+    val reportDelay: Duration = 5.seconds,
     val ingressLease: Duration = 5.seconds,
     val inquiryInterval: Duration = 500.milliseconds,
     val minimumBackoff: Duration = 100.milliseconds,
@@ -33,6 +35,7 @@
     val segmentsPerRead: Int = 32,
 ) {
     init {
+        require(writeBurst > 0) { "writeBurst must be positive, was $writeBurst" }
         require(shards > 0) { "shards must be positive, was $shards" }
         require(snapshotInterval in 1 until slots) {
             "snapshotInterval must be between 1 and ${slots - 1}, was $snapshotInterval"
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardState.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardState.kt
@@ -7,6 +7,7 @@
 
 /**
  * One shard at its owner. [chain] is null until the shard is read from the store; [call] is the outstanding store call.
+ * Segments written so far use up their share of the write rate until [pacedUntil].
  */
 data class ShardState(
     val number: Int,
@@ -18,7 +19,7 @@
     val inquiries: PersistentMap<ClaimNonce, Inquiry> = persistentMapOf(),
     val call: ShardCall? = null,
     val calls: Long = 0,
-    val writableAt: Timestamp = lastUsedAt,
+    val pacedUntil: Timestamp = lastUsedAt,
     val retryAt: Timestamp = lastUsedAt,
     val backoff: Duration = Duration.ZERO,
 )
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardWriting.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardWriting.kt
@@ -18,7 +18,6 @@
         if (chain.lastSequence - chain.snapshotSequence >= settings.snapshotInterval) {
             return startSnapshot(shard, chain, time)
         }
-        if (time.now < shard.writableAt) return Step(shard)
         val records = recordsToWrite(shard, chain, time)
         return if (records.isEmpty()) Step(shard) else startSegment(shard, chain, records, time)
     }
@@ -62,7 +61,9 @@
             expected = expected(chain.slotRevisions[slot]),
             value = LedgerCodec.encode(segment),
         )
-        return shard.copy(writableAt = time.now + settings.writeInterval).calling(command) { number ->
+        val hasClaims = records.any { it is LedgerRecord.Claimed }
+        val pacedUntil = maxOf(shard.pacedUntil, time.now) + settings.writeInterval
+        return shard.copy(pacedUntil = if (hasClaims) pacedUntil else shard.pacedUntil).calling(command) { number ->
             ShardCall.WriteSegment(number, segment.sequence, segment.writtenAt, records)
         }
     }
@@ -79,12 +80,16 @@
 
     private fun recordsToWrite(shard: ShardState, chain: ShardChain, time: LedgerTime): List<LedgerRecord> {
         val reports = shard.reports.values.take(settings.maximumSegmentRecords).map { it.record }
-        val claims = claimsToWrite(shard, chain.index.after(reports, time.epochSeconds), time)
-            .take(settings.maximumSegmentRecords - reports.size)
+        val index = chain.index.after(reports, time.epochSeconds)
+        val claims = if (isPaced(shard, time)) emptyList() else claimsToWrite(shard, index, time)
         val areReportsDue = shard.reports.values.any { time.now - it.receivedAt >= settings.reportDelay }
-        return if (claims.isEmpty() && !areReportsDue) emptyList() else reports + claims
+        if (claims.isEmpty() && !areReportsDue) return emptyList()
+        return (reports + claims).take(settings.maximumSegmentRecords)
     }
 
+    private fun isPaced(shard: ShardState, time: LedgerTime): Boolean =
+        shard.pacedUntil - time.now > settings.writeInterval * (settings.writeBurst - 1)
+
     private fun claimsToWrite(shard: ShardState, index: ShardIndex, time: LedgerTime): List<LedgerRecord> =
         shard.claims.values
             .map { it.claim }
@@ -101,7 +106,7 @@
         val segment = current?.let { LedgerCodec.segment(it.value) }
         if (segment == null || segment.sequence != call.sequence) return Step(shard.unloaded())
         val notice = LedgerNotice.SegmentContended(shard.number, segment.sequence)
-        val step = extended(shard.copy(writableAt = time.now), segment, current.revision)
+        val step = extended(shard.copy(pacedUntil = time.now), segment, current.revision)
         return step.copy(effects = step.effects + LedgerEffect.Log(notice))
     }
 
