Bound, queue and share the load of targets at their owners

Change: load bound over a mean from an aggregator per service and region; queue with deadlines, shared by start-time fair queuing; memory of spilled chats; chats without a prefix leave the last slots to returning ones; counting of foreign work by load reports; hand-over of permits.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
@@ -2,11 +2,13 @@
 
 import kotlin.time.Duration
 import kotlinx.serialization.Serializable
+import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.ChatId
 import org.cicadaarch.model.TargetId
 
 /**
- * Messages between the ingress of a request and the admission owner of a target.
+ * Messages between the ingress of a request, the admission owner of a target and the load-mean aggregator.
  */
 @Serializable
 sealed class AdmissionMessage {
@@ -24,20 +26,61 @@
     data class PermitQueued(val attempt: AttemptId, val target: TargetId, val expectedWait: Duration) :
         AdmissionMessage()
 
-    /** Owner to ingress: [target] is at its bound; [hint] is where the chat was sent before, if known. */
+    /**
+     * Owner to ingress: ask another target. [hint] is to be asked first: it ran the chat before or has free slots.
+     * With [roomLeft] the sender's target has free slots and may be asked again, should [hint] have none.
+     */
     @Serializable
-    data class PermitSpilled(val attempt: AttemptId, val target: TargetId, val hint: TargetId?) : AdmissionMessage()
+    data class PermitSpilled(
+        val attempt: AttemptId,
+        val target: TargetId,
+        val hint: TargetId?,
+        val roomLeft: Boolean = false,
+    ) : AdmissionMessage()
 
     /** Owner to ingress: [attempt] will not run on [target]. */
     @Serializable
     data class PermitRefused(val attempt: AttemptId, val target: TargetId, val reason: PermitRefusal) :
         AdmissionMessage()
 
-    /** Ingress to owner: [attempt] has ended or does not want its permit or place in the queue any more. */
+    /**
+     * Ingress to owner: [attempt] has ended or does not want its permit or place in the queue any more.
+     * [timeToFirstToken] is counted from the grant; null when no token came. A former owner sets [forwarded].
+     */
     @Serializable
-    data class PermitReleased(val attempt: AttemptId, val target: TargetId) : AdmissionMessage()
+    data class PermitReleased(
+        val attempt: AttemptId,
+        val target: TargetId,
+        val timeToFirstToken: Duration? = null,
+        val forwarded: Boolean = false,
+    ) : AdmissionMessage()
 
     /** Ingress to owner: renews the sender's permits on [target]; a new owner rebuilds its count from them. */
     @Serializable
     data class PermitsRenewed(val target: TargetId, val permits: List<HeldPermit>) : AdmissionMessage()
+
+    /** Ingress to the owner of [home]: the chat that [home] spilled was granted a permit on [placedOn]. */
+    @Serializable
+    data class ChatPlaced(val home: TargetId, val account: AccountId, val chat: ChatId, val placedOn: TargetId) :
+        AdmissionMessage()
+
+    /** Former owner to new owner: the permits that stand on [target]. */
+    @Serializable
+    data class PermitsHandedOver(val target: TargetId, val permits: List<HandedOverPermit>) : AdmissionMessage()
+
+    /** Owner to aggregator: the sender's [counts] of its targets in [group]. */
+    @Serializable
+    data class LoadCounted(val group: LoadGroup, val counts: List<TargetCount>) : AdmissionMessage()
+
+    /**
+     * Aggregator to owner: [total] requests are in flight on the counted targets, whose capacity is [capacity];
+     * [roomy] have most free slots.
+     */
+    @Serializable
+    data class LoadTotalled(
+        val group: LoadGroup,
+        val total: Int,
+        val capacity: Int,
+        val roomy: List<TargetId> = emptyList(),
+    ) : AdmissionMessage()
 }
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionState.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionState.kt
@@ -2,16 +2,25 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * The admission owners of one router: the permits of each target that it owns.
+ * The admission owners and load-mean aggregators of one router: [targets] that it owns, the [means] that it heard, and
+ * the [aggregates] that it keeps.
  */
 data class AdmissionState(
     val view: RouterView,
     val fleet: FleetDocument?,
-    val permits: PersistentMap<TargetId, PersistentMap<AttemptId, Permit>> = persistentMapOf(),
-)
+    val targets: PersistentMap<TargetId, TargetLoad> = persistentMapOf(),
+    val means: PersistentMap<LoadGroup, GroupMean> = persistentMapOf(),
+    val aggregates: PersistentMap<LoadGroup, GroupLoads> = persistentMapOf(),
+    val owned: OwnedTargets? = null,
+) {
+    /** The permits granted and not ended on [target], as this router counts them. */
+    fun inFlight(target: TargetId): Int = targets[target]?.permits?.size ?: 0
+
+    /** The requests that wait here for [target]. */
+    fun queued(target: TargetId): Int = targets[target]?.queue?.size ?: 0
+}
--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairQueue.kt
@@ -0,0 +1,80 @@
+package org.cicadaarch.admission
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.AttemptId
+
+/**
+ * A target's queue, shared among client accounts by start-time fair queuing (Goyal, Vin and Cheng, 1996).
+ *
+ * Each grant moves its account's finish tag by the request's work over the account's weight; the account with the
+ * lowest tag is served next. Tags behind [virtualTime] have no effect and are dropped.
+ */
+data class FairQueue(
+    val entries: PersistentMap<AttemptId, QueuedRequest> = persistentMapOf(),
+    private val accounts: PersistentMap<AccountId, AccountQueue> = persistentMapOf(),
+    private val finishTags: PersistentMap<AccountId, Double> = persistentMapOf(),
+    private val virtualTime: Double = 0.0,
+) {
+    /** The number of waiting requests. */
+    val size: Int get() = entries.size
+
+    /** Whether none waits. */
+    val isEmpty: Boolean get() = entries.isEmpty()
+
+    /** Adds [request] behind its account's others of its priority. */
+    fun plus(request: QueuedRequest): FairQueue {
+        val account = request.account
+        val queue = accounts[account] ?: AccountQueue()
+        return copy(
+            entries = entries.put(request.attempt, request),
+            accounts = accounts.put(account, queue.plus(request.attempt, request.demand.priority)),
+        )
+    }
+
+    /** Removes [attempt] without serving it. */
+    fun minus(attempt: AttemptId): FairQueue {
+        val request = entries[attempt] ?: return this
+        val account = request.account
+        val queue = accounts.getValue(account).minus(attempt, request.demand.priority)
+        return copy(
+            entries = entries.remove(attempt),
+            accounts = if (queue.size == 0) accounts.remove(account) else accounts.put(account, queue),
+        )
+    }
+
+    /** The request that is served next; null when none waits. */
+    fun first(): QueuedRequest? = accounts.keys
+        .minWithOrNull(compareBy<AccountId> { startTag(it) }.thenBy { it })
+        ?.let { accounts.getValue(it).first() }
+        ?.let { entries.getValue(it) }
+
+    /** Charges [account] with [work] that begins now, at [weight]. */
+    fun charged(account: AccountId, work: Double, weight: Int): FairQueue {
+        val start = startTag(account)
+        val time = maxOf(virtualTime, if (accounts.isEmpty()) virtualTime else start)
+        val tags = finishTags.put(account, start + work / weight)
+        return copy(finishTags = if (tags.size > TAGS_KEPT) recent(tags, time) else tags, virtualTime = time)
+    }
+
+    /**
+     * The requests that would be served before a further one of [account], when each account is served by its weight.
+     */
+    fun ahead(account: AccountId, weight: (AccountId) -> Int): Int {
+        val own = accounts[account]?.size ?: 0
+        val rounds = (own + 1.0) / weight(account)
+        return own + accounts.entries.sumOf { (other, queue) ->
+            if (other == account) 0 else minOf(queue.size, (rounds * weight(other)).toInt())
+        }
+    }
+
+    private fun startTag(account: AccountId): Double = maxOf(virtualTime, finishTags[account] ?: virtualTime)
+
+    private fun recent(tags: PersistentMap<AccountId, Double>, time: Double) =
+        tags.entries.fold(tags) { left, (account, tag) -> if (tag <= time) left.remove(account) else left }
+
+    private companion object {
+        const val TAGS_KEPT = 64
+    }
+}
--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/HandedOverPermit.kt
@@ -0,0 +1,10 @@
+package org.cicadaarch.admission
+
+import kotlinx.serialization.Serializable
+import org.cicadaarch.model.RouterId
+
+/**
+ * A permit that an earlier owner granted to the ingress on router [holder].
+ */
+@Serializable
+data class HandedOverPermit(val holder: RouterId, val permit: HeldPermit)
--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/LoadAggregation.kt
@@ -0,0 +1,19 @@
+package org.cicadaarch.admission
+
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.placement.RendezvousHash
+
+/**
+ * Assigns each group's load-mean aggregator among the live routers of the group's region by rendezvous hashing.
+ */
+object LoadAggregation {
+    private const val KEY_PREFIX = "load/"
+
+    /** The aggregator of [group] in [view]; a router of another region when its own has none, null when none lives. */
+    fun aggregatorOf(group: LoadGroup, view: RouterView): RouterId? = RendezvousHash.first(
+        key = "$KEY_PREFIX${group.service}/${group.region}",
+        members = view.roleHolders.filter { it.region == group.region }.ifEmpty { view.roleHolders },
+        name = { it.id.value },
+    )?.id
+}
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
@@ -10,7 +10,8 @@
  * What an admission owner weighs: whose request it is and how much work it brings.
  *
  * [timeAllowed] is what remains until the first byte is due. [promptTokens] is the whole prompt; [home] tells that the
- * target is the first in the chat's order, and [returning] that the chat has earlier turns.
+ * target is the first in the chat's order, and [returning] that the chat has earlier turns. [spills] counts the owners
+ * that sent the attempt on.
  */
 @Serializable
 data class PermitDemand(
@@ -22,4 +23,5 @@
     val outputTokens: Int,
     val home: Boolean = true,
     val returning: Boolean = false,
+    val spills: Int = 0,
 )
--- /dev/null
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetContext.kt
@@ -0,0 +1,30 @@
+package org.cicadaarch.admission
+
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.fleet.Target
+
+/**
+ * What the configuration and the aggregator say about the target [id] when an owner decides.
+ */
+internal class TargetContext(
+    val id: TargetId,
+    val target: Target,
+    val group: LoadGroup,
+    val groupSize: OwnedTargets.GroupSize,
+    val mean: GroupMean?,
+    private val fleet: FleetDocument,
+) {
+    /** The most requests that the target runs, as a multiple of its group's mean. */
+    val loadMultiple: Double
+        get() = fleet.preset.loadMultiples[target.service]
+            ?: fleet.services[target.service]?.loadMultiple
+            ?: DEFAULT_MULTIPLE
+
+    fun weightOf(account: AccountId): Int = fleet.accounts[account]?.weight ?: 1
+
+    private companion object {
+        const val DEFAULT_MULTIPLE = 1.25
+    }
+}
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
@@ -10,7 +10,6 @@
 import org.cicadaarch.admission.AdmissionReducer
 import org.cicadaarch.admission.AdmissionState
 import org.cicadaarch.admission.HeldPermit
-import org.cicadaarch.admission.PermitDemand
 import org.cicadaarch.admission.PermitRefusal
 import org.cicadaarch.admission.TargetOwnership
 import org.cicadaarch.model.AttemptId
@@ -66,7 +65,12 @@
         val attempt = AttemptId(RequestId("%016x".format(turn.id)), turn.attempt)
         val search = searches.remove(attempt) ?: return
         held[turn.router].remove(attempt)
-        sendToOwner(turn.router, search.asked, AdmissionMessage.PermitReleased(attempt, search.asked))
+        sendToOwner(turn.router, search.asked, released(attempt, search))
+    }
+
+    private fun released(attempt: AttemptId, search: Search): AdmissionMessage {
+        val firstToken = search.turn.firstTokenAt?.let { (it - search.grantedAt).microseconds }
+        return AdmissionMessage.PermitReleased(attempt, search.asked, firstToken)
     }
 
     override fun enginesChanged(engines: List<EngineModel>) {
@@ -121,16 +125,7 @@
         search.asked = target
         search.tried += target
         val waited = clock.now - search.turn.arrivedAt
-        val demand = PermitDemand(
-            account = fleet.accountId(search.turn.account),
-            chat = fleet.chatId(search.turn.chat),
-            priority = fleet.priority,
-            timeAllowed = (scenario.timeAllowed - waited).microseconds,
-            promptTokens = search.turn.promptTokens,
-            outputTokens = search.turn.outputTokens,
-            home = target == search.order.first(),
-            returning = search.turn.returning,
-        )
+        val demand = search.demand(fleet, (scenario.timeAllowed - waited).microseconds)
         search.unanswered = true
         sendToOwner(search.turn.router, target, AdmissionMessage.PermitRequest(search.attempt, target, demand))
         clock.schedule(clock.now + ANSWER_TIMEOUT) {
@@ -145,9 +140,14 @@
             is AdmissionMessage.PermitQueued -> searches[message.attempt]?.unanswered = false
 
             is AdmissionMessage.PermitSpilled ->
-                current(message.attempt, message.target)?.let { next(it, message.hint) }
+                current(message.attempt, message.target)?.let {
+                    it.spills++
+                    if (message.roomLeft) it.tried -= message.target
+                    next(it, message.hint)
+                }
 
             is AdmissionMessage.PermitRefused -> current(message.attempt, message.target)?.let {
+                if (message.reason == PermitRefusal.LATE) it.late++
                 if (message.reason == PermitRefusal.NOT_OWNER) retryLater(it) else next(it, null)
             }
 
@@ -161,21 +161,31 @@
     private fun granted(message: AdmissionMessage.PermitGranted) {
         val search = current(message.attempt, message.target) ?: return
         search.unanswered = false
+        search.grantedAt = clock.now
         held[search.turn.router][search.attempt] = search
         val engine = engines[message.target]
         if (engine == null) {
             finished(search.turn)
             offer(search.turn)
         } else {
+            if (search.spills > 0) reportPlace(search)
             engine.submit(search.turn)
         }
     }
 
+    private fun reportPlace(search: Search) {
+        val home = search.order.first()
+        if (search.asked == home) return
+        val account = fleet.accountId(search.turn.account)
+        val chat = fleet.chatId(search.turn.chat)
+        sendToOwner(search.turn.router, home, AdmissionMessage.ChatPlaced(home, account, chat, search.asked))
+    }
+
     private fun next(search: Search, hint: TargetId?) {
         search.unanswered = false
         val untried = search.order.filter { it !in search.tried && it in engines }
         val target = hint?.takeIf { it in untried } ?: untried.firstOrNull()
-        if (target == null) {
+        if (target == null || search.late >= LATE_ANSWERS) {
             searches.remove(search.attempt)
             refused(search.turn)
         } else {
@@ -233,6 +243,7 @@
         const val MINIMUM_LATENCY = 500L
         const val LATENCY_SPREAD = 500L
         const val ANSWER_TIMEOUT = 300 * MICROSECONDS_PER_MILLISECOND
+        const val LATE_ANSWERS = 3
         const val RETRY_PAUSE = 200 * MICROSECONDS_PER_MILLISECOND
     }
 }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/PolicyRun.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/PolicyRun.kt
@@ -29,7 +29,10 @@
         measurements.started(turn, reusedTokens, clock.now)
     }
 
-    override fun firstToken(turn: Turn, engine: EngineModel) = measurements.firstToken(turn, clock.now)
+    override fun firstToken(turn: Turn, engine: EngineModel) {
+        turn.firstTokenAt = clock.now
+        measurements.firstToken(turn, clock.now)
+    }
 
     override fun finished(turn: Turn, engine: EngineModel) {
         dispatcher.finished(turn)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
@@ -12,6 +12,9 @@
     val tried = LinkedHashSet<TargetId>()
     var asked: TargetId = order.first()
     var unanswered = false
+    var spills = 0
+    var late = 0
+    var grantedAt = 0L
 
     fun demand(fleet: FleetModel, timeAllowed: Duration = Duration.ZERO) = PermitDemand(
         account = fleet.accountId(turn.account),
@@ -22,5 +25,6 @@
         outputTokens = turn.outputTokens,
         home = asked == order.first(),
         returning = turn.returning,
+        spills = spills,
     )
 }
