Follow the owners' new answers, lost owners and crashing requests

Cause: the admission owner now spills with hints, queues and refuses early; requests that waited for a killed owner lost 250 ms each; a request that crashes targets was counted per request only. Change: PermitSearch follows hints, reports where a spilled chat ran and asks again when a queue answer is overdue; a broken link or an unanswered request marks a router as unreachable for a second, in which its targets run on the local budget; attempts that end with their target's connection are told to all routers, and a fingerprint with three is refused.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.Serializable
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.ledger.LedgerMessage
+import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.RouterId
 
 /**
@@ -30,6 +32,10 @@
     @Serializable
     data class ToClaimant(val message: LedgerMessage.ForIngress) : PeerMessage()
 
+    /** To every ingress: [attempt] of a request with [fingerprint] ended with its target's connection. */
+    @Serializable
+    data class CrashReported(val fingerprint: Fingerprint, val attempt: AttemptId) : PeerMessage()
+
     /** Keeps a connection alive and proves that it still carries data. */
     @Serializable
     data class Heartbeat(val number: Long) : PeerMessage()
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
@@ -28,6 +28,9 @@
     /** The document of [revision] came into force. */
     data class FleetChanged(val revision: Revision, val fleet: FleetDocument) : RouterEvent()
 
+    /** The connection to [router] broke or could not be made. */
+    data class PeerUnreachable(val router: RouterId) : RouterEvent()
+
     /** A target reported its load, some time ago. */
     data class LoadReported(val target: TargetId, val running: Int, val waiting: Int) : RouterEvent()
 
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -52,6 +52,8 @@
 
             is RouterEvent.RoutersChanged -> transition.routersChanged(event.view)
 
+            is RouterEvent.PeerUnreachable -> transition.reduceIngress(IngressEvent.RouterUnreachable(event.router))
+
             is RouterEvent.FleetChanged -> transition.fleetChanged(event)
 
             is RouterEvent.LoadReported -> transition.reduceAdmission(
@@ -80,9 +82,17 @@
         fun receive(from: RouterId, message: PeerMessage) {
             when (message) {
                 is PeerMessage.ToAdmissionOwner -> reduceAdmission(AdmissionEvent.Received(from, message.message))
+
                 is PeerMessage.ToIngress -> reduceIngress(IngressEvent.PermitAnswered(message.message))
+
                 is PeerMessage.ToShardOwner -> reduceLedger(LedgerEvent.Received(from, message.message))
+
                 is PeerMessage.ToClaimant -> reduceClaimant(ClaimantEvent.Received(from, message.message))
+
+                is PeerMessage.CrashReported -> reduceIngress(
+                    IngressEvent.CrashReported(message.fingerprint, message.attempt),
+                )
+
                 is PeerMessage.Hello, is PeerMessage.Heartbeat -> Unit
             }
         }
@@ -210,6 +220,10 @@
 
                 is IngressEffect.FinishClaim -> reduceClaimant(ClaimantEvent.Ended(effect.head.id, effect.outcome))
 
+                is IngressEffect.ReportCrash -> tellAll(
+                    PeerMessage.CrashReported(effect.fingerprint, effect.attempt),
+                )
+
                 is IngressEffect.StartAttempt,
                 is IngressEffect.CancelAttempt,
                 is IngressEffect.ProbeTarget,
@@ -220,10 +234,22 @@
 
         private fun carryOut(effect: AdmissionEffect) {
             when (effect) {
-                is AdmissionEffect.Send -> sendToIngress(effect.to, effect.message)
+                is AdmissionEffect.Send -> when (effect.message) {
+                    is AdmissionMessage.PermitGranted,
+                    is AdmissionMessage.PermitQueued,
+                    is AdmissionMessage.PermitSpilled,
+                    is AdmissionMessage.PermitRefused,
+                    -> sendToIngress(effect.to, effect.message)
+
+                    else -> sendToOwner(effect.to, effect.message)
+                }
             }
         }
 
+        private fun tellAll(message: PeerMessage) {
+            (state.view.routers.keys - state.view.self).forEach { effects += RouterEffect.SendToPeer(it, message) }
+        }
+
         private fun sendToOwner(to: RouterId, message: AdmissionMessage) {
             if (to == state.view.self) {
                 reduceAdmission(AdmissionEvent.Received(to, message))
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -4,8 +4,8 @@
 import org.cicadaarch.experiment.demonstration.DemonstrationExperiment
 import org.cicadaarch.experiment.demonstration.StandInsExperiment
 import org.cicadaarch.experiment.ledger.LedgerExperiment
-import org.cicadaarch.experiment.policy.PolicyExperiment
 import org.cicadaarch.experiment.membership.MembershipExperiment
+import org.cicadaarch.experiment.policy.PolicyExperiment
 
 private const val EXIT_USAGE = 2
 
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressEffect.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressEffect.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.Outcome
 import org.cicadaarch.model.RequestHead
 import org.cicadaarch.model.RequestId
@@ -30,6 +31,9 @@
     /** Opens a new connection to [target] to learn whether it is alive. */
     data class ProbeTarget(val attempt: AttemptId, val target: TargetId) : IngressEffect()
 
+    /** Tells all other routers that [attempt] of a request with [fingerprint] ended with its target's connection. */
+    data class ReportCrash(val fingerprint: Fingerprint, val attempt: AttemptId) : IngressEffect()
+
     /** The request ended. The caller is told [outcome], and [reason] unless the answer is whole. */
     data class EndRequest(val request: RequestId, val outcome: Outcome, val reason: RefusalReason?) : IngressEffect()
 }
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressEvent.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressEvent.kt
@@ -2,8 +2,10 @@
 
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.RequestHead
 import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.fleet.FleetDocument
 
@@ -35,6 +37,12 @@
     /** The probe of the target of [attempt] on a new connection ended. */
     data class ProbeAnswered(val attempt: AttemptId, val alive: Boolean) : IngressEvent()
 
+    /** [attempt] of a request with [fingerprint], perhaps of another router, ended with its target's connection. */
+    data class CrashReported(val fingerprint: Fingerprint, val attempt: AttemptId) : IngressEvent()
+
+    /** The connection to [router] broke or could not be made. */
+    data class RouterUnreachable(val router: RouterId) : IngressEvent()
+
     /** The caller closed its connection before it had the whole answer. */
     data class CallerGone(val request: RequestId) : IngressEvent()
 
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressReducer.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressReducer.kt
@@ -2,6 +2,8 @@
 
 import kotlin.time.Duration
 import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.model.AttemptId
+import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.Idempotency
 import org.cicadaarch.model.Outcome
 import org.cicadaarch.model.RequestHead
@@ -22,196 +24,227 @@
  */
 class IngressReducer(private val settings: IngressSettings = IngressSettings()) {
     /** The state and the effects after [event] at [now]. */
-    fun reduce(state: IngressState, event: IngressEvent, now: Timestamp): Step<IngressState, IngressEffect> {
-        val transition = IngressTransition(state, settings, now)
-        when (event) {
-            is IngressEvent.Arrived -> arrived(transition, event.head)
-
-            is IngressEvent.ClaimAnswered -> claimAnswered(transition, event)
-
-            is IngressEvent.PermitAnswered -> permitAnswered(transition, event.message)
-
-            is IngressEvent.AnswerBegun -> transition.updateRunning(event.attempt) { request, running ->
-                request.copy(answerBegun = true, phase = running.progressedAt(now))
+    fun reduce(state: IngressState, event: IngressEvent, now: Timestamp): Step<IngressState, IngressEffect> =
+        EventReduction(IngressTransition(state, settings, now)).reduce(event)
+
+    private inner class EventReduction(private val transition: IngressTransition) {
+        private val now = transition.now
+        private val search = PermitSearch(settings, transition)
+
+        fun reduce(event: IngressEvent): Step<IngressState, IngressEffect> {
+            when (event) {
+                is IngressEvent.Arrived -> arrived(event.head)
+                is IngressEvent.ClaimAnswered -> claimAnswered(event)
+                is IngressEvent.PermitAnswered -> permitAnswered(event.message)
+                is IngressEvent.AnswerBegun -> answerBegun(event.attempt)
+                is IngressEvent.Progressed -> progressed(event)
+                is IngressEvent.AttemptCompleted -> attemptCompleted(event.attempt)
+                is IngressEvent.AttemptFailed -> attemptFailed(event)
+                is IngressEvent.ProbeAnswered -> probeAnswered(event)
+                is IngressEvent.CrashReported -> crashReported(event.fingerprint, event.attempt)
+                is IngressEvent.RouterUnreachable -> search.ownerLost(event.router)
+                is IngressEvent.CallerGone -> callerGone(event.request)
+                is IngressEvent.RoutersChanged -> routersChanged(event.view)
+                is IngressEvent.FleetChanged -> transition.fleetChanged(event.fleet)
+                IngressEvent.Tick -> tick()
             }
+            return transition.step()
+        }
 
-            is IngressEvent.Progressed -> transition.updateRunning(event.attempt) { request, running ->
-                request.copy(delivered = event.delivered, phase = running.progressedAt(now))
+        private fun arrived(head: RequestHead) {
+            val request = OpenRequest(head = head, arrivedAt = now, phase = Claiming)
+            transition.earnRetries()
+            transition.put(request)
+            val refusal = refusalAtArrival(head)
+            when {
+                refusal != null -> transition.end(request, Outcome.NOT_RUN, refusal)
+                head.idempotency is Idempotency.Keyed -> transition.emit(IngressEffect.Claim(head))
+                else -> search.startRound(request)
             }
+        }
 
-            is IngressEvent.AttemptCompleted -> transition.running(event.attempt)?.let { (request, _) ->
-                transition.end(request, Outcome.COMPLETED, reason = null)
+        private fun refusalAtArrival(head: RequestHead): RefusalReason? {
+            val fleet = transition.state.fleet
+            return when {
+                fleet == null -> RefusalReason.NO_CONFIGURATION
+                head.service !in fleet.services -> RefusalReason.UNKNOWN_SERVICE
+                head.priority !in fleet.preset.admittedPriorities -> RefusalReason.PRIORITY_NOT_ADMITTED
+                isConvicted(head.fingerprint) -> RefusalReason.CRASHES_TARGETS
+                else -> null
             }
+        }
 
-            is IngressEvent.AttemptFailed -> attemptFailed(transition, event)
+        private fun isConvicted(fingerprint: Fingerprint): Boolean =
+            transition.state.suspects.crashes(fingerprint) >= settings.crashLimit
 
-            is IngressEvent.ProbeAnswered -> probeAnswered(transition, event)
+        private fun claimAnswered(event: IngressEvent.ClaimAnswered) {
+            val request = transition.state.requests[event.request]?.takeIf { it.phase is Claiming } ?: return
+            when (event.verdict) {
+                ClaimVerdict.Granted -> search.startRound(request)
+                ClaimVerdict.Unavailable -> transition.end(request, Outcome.NOT_RUN, RefusalReason.LEDGER_UNAVAILABLE)
+                is ClaimVerdict.Taken -> transition.end(request, Outcome.ALREADY_RUN, RefusalReason.KEY_CLAIMED)
+            }
+        }
 
-            is IngressEvent.CallerGone -> callerGone(transition, event.request)
+        private fun permitAnswered(message: AdmissionMessage) {
+            when (message) {
+                is AdmissionMessage.PermitGranted -> {
+                    val (request, seeking) = transition.seeking(message.attempt)
+                        ?: return transition.giveBackLateGrant(message)
+                    search.granted(request, seeking, message)
+                }
 
-            is IngressEvent.RoutersChanged -> routersChanged(transition, event.view)
+                is AdmissionMessage.PermitQueued -> transition.seeking(message.attempt)?.let { (request, seeking) ->
+                    search.queued(request, seeking, message)
+                }
 
-            is IngressEvent.FleetChanged -> transition.fleetChanged(event.fleet)
+                is AdmissionMessage.PermitSpilled -> transition.seeking(message.attempt)?.let { (request, _) ->
+                    search.spilled(request, message)
+                }
 
-            IngressEvent.Tick -> tick(transition)
-        }
-        return transition.step()
-    }
+                is AdmissionMessage.PermitRefused -> transition.seeking(message.attempt)?.let { (request, _) ->
+                    search.refused(request, message)
+                }
 
-    private fun arrived(transition: IngressTransition, head: RequestHead) {
-        val request = OpenRequest(head = head, arrivedAt = transition.now, phase = Claiming)
-        transition.earnRetries()
-        transition.put(request)
-        val fleet = transition.state.fleet
-        val refusal = when {
-            fleet == null -> RefusalReason.NO_CONFIGURATION
-            head.service !in fleet.services -> RefusalReason.UNKNOWN_SERVICE
-            head.priority !in fleet.preset.admittedPriorities -> RefusalReason.PRIORITY_NOT_ADMITTED
-            else -> null
-        }
-        when {
-            refusal != null -> transition.end(request, Outcome.NOT_RUN, refusal)
-            head.idempotency is Idempotency.Keyed -> transition.emit(IngressEffect.Claim(head))
-            else -> transition.startRound(request)
+                else -> Unit
+            }
         }
-    }
 
-    private fun claimAnswered(transition: IngressTransition, event: IngressEvent.ClaimAnswered) {
-        val request = transition.state.requests[event.request]?.takeIf { it.phase is Claiming } ?: return
-        when (event.verdict) {
-            ClaimVerdict.Granted -> transition.startRound(request)
-            ClaimVerdict.Unavailable -> transition.end(request, Outcome.NOT_RUN, RefusalReason.LEDGER_UNAVAILABLE)
-            is ClaimVerdict.Taken -> transition.end(request, Outcome.ALREADY_RUN, RefusalReason.KEY_CLAIMED)
+        private fun answerBegun(attempt: AttemptId) = transition.updateRunning(attempt) { request, running ->
+            val begun = running.progressedAt(now).copy(firstByteAt = running.firstByteAt ?: now)
+            request.copy(answerBegun = true, phase = begun)
         }
-    }
 
-    private fun permitAnswered(transition: IngressTransition, message: AdmissionMessage) {
-        when (message) {
-            is AdmissionMessage.PermitGranted -> transition.granted(message)
-
-            is AdmissionMessage.PermitQueued -> transition.seeking(message.attempt)?.let { (request, seeking) ->
-                transition.put(request.copy(phase = seeking.copy(queued = true)))
+        private fun progressed(event: IngressEvent.Progressed) =
+            transition.updateRunning(event.attempt) { request, running ->
+                request.copy(delivered = event.delivered, phase = running.progressedAt(now))
             }
 
-            is AdmissionMessage.PermitSpilled -> transition.seeking(message.attempt)?.let { (request, _) ->
-                val hint = message.hint?.takeIf { it in request.candidates }
-                transition.seekNext(
-                    request.copy(
-                        candidates =
-                            listOfNotNull(hint) + (request.candidates - setOfNotNull(hint)),
-                    ),
-                )
+        private fun attemptCompleted(attempt: AttemptId) {
+            val (request, running) = transition.running(attempt) ?: return
+            transition.release(running)
+            transition.updateSuspects { it.cleared(request.head.fingerprint) }
+            transition.end(request, Outcome.COMPLETED, reason = null)
+        }
+
+        private fun attemptFailed(event: IngressEvent.AttemptFailed) {
+            val (request, running) = transition.running(event.attempt) ?: return
+            if (event.failure is AttemptFailure.ConnectionLost) {
+                crashReported(request.head.fingerprint, event.attempt)
+                transition.emit(IngressEffect.ReportCrash(request.head.fingerprint, event.attempt))
             }
+            failed(request.copy(delivered = event.delivered), running, event.failure)
+        }
 
-            is AdmissionMessage.PermitRefused -> transition.seeking(message.attempt)?.let { (request, _) ->
-                transition.seekNext(request)
+        private fun crashReported(fingerprint: Fingerprint, attempt: AttemptId) =
+            transition.updateSuspects { it.observed(fingerprint, attempt, now) }
+
+        private fun failed(request: OpenRequest, running: Running, failure: AttemptFailure) {
+            transition.release(running)
+            val failed = request.copy(
+                failedTargets = request.failedTargets + running.target,
+                started = if (failure.provesNotRun) request.started - 1 else request.started,
+            )
+            val refusal = RetryPolicy(settings).refusal(failed, failure, transition)
+            if (refusal == null) {
+                if (!failure.provesNotRun) transition.spendRetry()
+                search.startRound(failed)
+            } else {
+                transition.endUnanswered(failed, refusal)
             }
+        }
 
-            is AdmissionMessage.PermitRequest,
-            is AdmissionMessage.PermitReleased,
-            is AdmissionMessage.PermitsRenewed,
-            -> Unit
+        private fun probeAnswered(event: IngressEvent.ProbeAnswered) {
+            val (request, running) = transition.running(event.attempt) ?: return
+            if (running.probe != ProbeState.SENT) return
+            if (event.alive) {
+                transition.put(request.copy(phase = running.copy(probe = ProbeState.ALIVE)))
+            } else {
+                silent(request, running)
+            }
         }
-    }
 
-    private fun attemptFailed(transition: IngressTransition, event: IngressEvent.AttemptFailed) {
-        val (request, running) = transition.running(event.attempt) ?: return
-        transition.release(running)
-        val lostConnection = event.failure is AttemptFailure.ConnectionLost
-        val failed = request.copy(
-            delivered = event.delivered,
-            failedTargets = request.failedTargets + running.target,
-            started = if (event.failure.provesNotRun) request.started - 1 else request.started,
-            crashes = if (lostConnection) request.crashes + 1 else request.crashes,
-        )
-        RetryPolicy(settings).next(failed, event.failure, transition)
-    }
+        private fun silent(request: OpenRequest, running: Running) {
+            transition.emit(IngressEffect.CancelAttempt(running.attempt))
+            failed(request, running, AttemptFailure.Silent)
+        }
 
-    private fun probeAnswered(transition: IngressTransition, event: IngressEvent.ProbeAnswered) {
-        val (request, running) = transition.running(event.attempt) ?: return
-        if (running.probe != ProbeState.SENT) return
-        if (event.alive) {
-            transition.put(request.copy(phase = running.copy(probe = ProbeState.ALIVE)))
-        } else {
-            transition.failSilent(request, running)
+        private fun callerGone(id: RequestId) {
+            val request = transition.state.requests[id] ?: return
+            transition.withdraw(request)
+            (request.phase as? Running)?.let(transition::release)
+            transition.endUnanswered(request, RefusalReason.CALLER_GONE)
         }
-    }
 
-    private fun callerGone(transition: IngressTransition, id: RequestId) {
-        val request = transition.state.requests[id] ?: return
-        transition.withdraw(request)
-        val outcome = if (request.started > 0) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
-        transition.end(request, outcome, RefusalReason.CALLER_GONE)
-    }
+        private fun routersChanged(view: RouterView) {
+            transition.routersChanged(view)
+            transition.state.requests.values.forEach { request ->
+                val seeking = request.phase as? Seeking
+                if (seeking != null && seeking.owner != transition.ownerOf(seeking.target)) {
+                    search.ask(request, seeking.target)
+                }
+            }
+            transition.renewPermits()
+        }
 
-    private fun routersChanged(transition: IngressTransition, view: RouterView) {
-        transition.routersChanged(view)
-        transition.state.requests.values.forEach { request ->
-            val seeking = request.phase as? Seeking
-            if (seeking != null && seeking.owner != transition.ownerOf(seeking.target)) {
-                transition.seek(request, seeking.target)
+        private fun tick() {
+            transition.renewPermitsWhenDue()
+            transition.updateSuspects { it.expired(now) }
+            transition.state.requests.values.forEach { request ->
+                when (val phase = request.phase) {
+                    Claiming -> refuseWhenLate(request, RefusalReason.LEDGER_UNAVAILABLE)
+                    is BackingOff -> tickBackingOff(request, phase)
+                    is Seeking -> tickSeeking(request, phase)
+                    is Running -> tickRunning(request, phase)
+                }
             }
         }
-        transition.renewPermits()
-    }
 
-    private fun tick(transition: IngressTransition) {
-        transition.renewPermitsWhenDue()
-        transition.state.requests.values.forEach { request ->
-            when (val phase = request.phase) {
-                Claiming -> refuseWhenLate(transition, request, RefusalReason.LEDGER_UNAVAILABLE)
+        private fun tickBackingOff(request: OpenRequest, phase: BackingOff) {
+            if (refuseWhenLate(request, RefusalReason.LATE) || now < phase.until) return
+            if (request.candidates.isEmpty()) search.startRound(request) else search.askNext(request)
+        }
+
+        private fun tickSeeking(request: OpenRequest, seeking: Seeking) {
+            if (refuseWhenLate(request, RefusalReason.LATE)) return
+            if (now >= seeking.answerDueAt) search.overdue(request, seeking)
+        }
 
-                is BackingOff -> if (!refuseWhenLate(transition, request, RefusalReason.LATE) &&
-                    transition.now >= phase.until
-                ) {
-                    transition.startRound(request)
+        private fun tickRunning(request: OpenRequest, running: Running) {
+            val silence = now - running.lastProgressAt
+            when (running.probe) {
+                ProbeState.NOT_SENT -> if (silence >= settings.progressTimeout) {
+                    transition.put(request.copy(phase = running.copy(probe = ProbeState.SENT)))
+                    transition.emit(IngressEffect.ProbeTarget(running.attempt, running.target))
                 }
 
-                is Seeking -> tickSeeking(transition, request, phase)
+                ProbeState.SENT -> Unit
 
-                is Running -> tickRunning(transition, request, phase)
+                ProbeState.ALIVE -> if (isConnectionDead(request, silence)) silent(request, running)
             }
         }
-    }
 
-    private fun tickSeeking(transition: IngressTransition, request: OpenRequest, seeking: Seeking) {
-        if (refuseWhenLate(transition, request, RefusalReason.LATE)) return
-        if (seeking.queued || transition.now < seeking.answerDueAt) return
-        transition.withdraw(request)
-        transition.startOnLocalBudget(request, seeking)
-    }
+        /** A target that answers probes may be slow; only a silence that no slow target explains is a failure. */
+        private fun isConnectionDead(request: OpenRequest, silence: Duration): Boolean = when {
+            !request.mayRepeat -> silence >= settings.silenceLimit
 
-    private fun tickRunning(transition: IngressTransition, request: OpenRequest, running: Running) {
-        val silence = transition.now - running.lastProgressAt
-        when (running.probe) {
-            ProbeState.NOT_SENT -> if (silence >= settings.progressTimeout) {
-                transition.put(request.copy(phase = running.copy(probe = ProbeState.SENT)))
-                transition.emit(IngressEffect.ProbeTarget(running.attempt, running.target))
-            }
+            request.answerBegun -> silence >= settings.progressTimeout * 2
 
-            ProbeState.SENT -> Unit
-
-            ProbeState.ALIVE -> if (isConnectionDead(request, silence, transition.now)) {
-                transition.failSilent(request, running)
+            else -> {
+                val wholeAnswer = if (request.head.streaming) 0 else request.head.outputTokens
+                now >= request.deadline + settings.progressTimeout + settings.slowestTokenInterval * wholeAnswer
             }
         }
-    }
 
-    /** A target that answers probes may be slow; only a silence that no slow target explains counts as a failure. */
-    private fun isConnectionDead(request: OpenRequest, silence: Duration, now: Timestamp): Boolean = when {
-        !request.mayRepeat -> silence >= settings.silenceLimit
-        request.answerBegun -> silence >= settings.progressTimeout * 2
-        else -> now >= request.deadline + settings.progressTimeout
-    }
+        private fun refuseWhenLate(request: OpenRequest, reason: RefusalReason): Boolean {
+            val allowance = if (request.answerBegun) settings.resumeAllowance else IngressTransition.NO_ALLOWANCE
+            if (now < request.deadline + allowance) return false
+            transition.withdraw(request)
+            transition.endUnanswered(request, reason)
+            return true
+        }
 
-    private fun refuseWhenLate(transition: IngressTransition, request: OpenRequest, reason: RefusalReason): Boolean {
-        val allowance = if (request.answerBegun) settings.resumeAllowance else Duration.ZERO
-        if (transition.now < request.deadline + allowance) return false
-        transition.withdraw(request)
-        val outcome = if (request.started > 0) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN
-        transition.end(request, outcome, reason)
-        return true
+        private fun Running.progressedAt(now: Timestamp): Running =
+            copy(lastProgressAt = now, probe = ProbeState.NOT_SENT)
     }
-
-    private fun Running.progressedAt(now: Timestamp): Running = copy(lastProgressAt = now, probe = ProbeState.NOT_SENT)
 }
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
@@ -12,7 +12,9 @@
  * before it is probed, [silenceLimit] the longest silence of a target whose request may not be repeated,
  * [resumeAllowance] the time in which a broken stream may be resumed. [retryRatio] is the retries
  * earned by each request and [retryReserve] the most that can be saved. [crashLimit] is the number of target crashes
- * after which a request is not run again.
+ * after which a request is not run again, [lateAnswers] the owners that must foresee lateness before it is refused.
+ * [queueCheck] is the grace after an expected wait before the owner is asked again, [unreachablePause] the time in which
+ * a router that did not answer is not asked, [slowestTokenInterval] the longest time per token of a whole answer.
  */
 data class IngressSettings(
     val permitTimeout: Duration = 250.milliseconds,
@@ -23,5 +25,9 @@
     val resumeAllowance: Duration = 30.seconds,
     val retryRatio: Double = 0.1,
     val retryReserve: Double = 100.0,
-    val crashLimit: Int = 2,
+    val crashLimit: Int = 3,
+    val lateAnswers: Int = 3,
+    val queueCheck: Duration = 500.milliseconds,
+    val unreachablePause: Duration = 1.seconds,
+    val slowestTokenInterval: Duration = 100.milliseconds,
 )
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressState.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressState.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
@@ -10,7 +11,7 @@
 
 /**
  * The open requests of one router. [retryBudget] is the number of retries that may be made now; [localGrants] counts
- * the running requests of each target that have no permit.
+ * the running requests of each target that have no permit. [unreachable] routers did not answer at that time.
  */
 data class IngressState(
     val view: RouterView,
@@ -18,6 +19,8 @@
     val requests: PersistentMap<RequestId, OpenRequest> = persistentMapOf(),
     val localGrants: PersistentMap<TargetId, Int> = persistentMapOf(),
     val retryBudget: Double = INITIAL_RETRY_BUDGET,
+    val suspects: SuspectTable = SuspectTable(),
+    val unreachable: Map<RouterId, Timestamp> = emptyMap(),
     val renewedAt: Timestamp = Timestamp(0),
 ) {
     private companion object {
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressTransition.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressTransition.kt
@@ -1,7 +1,9 @@
 package org.cicadaarch.request
 
+import kotlin.time.Duration
 import org.cicadaarch.admission.AdmissionMessage
 import org.cicadaarch.admission.HeldPermit
+import org.cicadaarch.admission.PermitDemand
 import org.cicadaarch.admission.TargetOwnership
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Idempotency
@@ -12,7 +14,6 @@
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.fleet.FleetDocument
-import org.cicadaarch.request.RequestPhase.BackingOff
 import org.cicadaarch.request.RequestPhase.Running
 import org.cicadaarch.request.RequestPhase.Seeking
 
@@ -30,6 +31,10 @@
         effects += effect
     }
 
+    fun sendToOwner(target: TargetId, message: AdmissionMessage) {
+        ownerOf(target)?.let { emit(IngressEffect.SendToOwner(it, message)) }
+    }
+
     fun put(request: OpenRequest) {
         state = state.copy(requests = state.requests.put(request.head.id, request))
     }
@@ -39,7 +44,11 @@
     }
 
     fun routersChanged(view: RouterView) {
-        state = state.copy(view = view)
+        state = state.copy(view = view, unreachable = state.unreachable.filterKeys { it in view.routers })
+    }
+
+    fun updateSuspects(change: (SuspectTable) -> SuspectTable) {
+        state = state.copy(suspects = change(state.suspects))
     }
 
     fun earnRetries() {
@@ -53,6 +62,25 @@
 
     fun ownerOf(target: TargetId): RouterId? = TargetOwnership.ownerOf(target, state.view)
 
+    fun orderOf(request: OpenRequest): List<TargetId> = state.fleet?.let { TargetOrder.of(request.head, it) }.orEmpty()
+
+    fun homeOf(request: OpenRequest): TargetId? = orderOf(request).firstOrNull()
+
+    fun resumesStreams(target: TargetId): Boolean = state.fleet?.targets?.get(target)?.resumesStreams == true
+
+    fun canResume(request: OpenRequest): Boolean = request.head.streaming && orderOf(request).any(::resumesStreams)
+
+    fun demandOf(request: OpenRequest, target: TargetId): PermitDemand =
+        request.demand(target, home = homeOf(request), now = now)
+
+    /** Whether [owner] did not answer lately; after a pause one request tries it again. */
+    fun isUnreachable(owner: RouterId): Boolean =
+        state.unreachable[owner]?.let { now - it < settings.unreachablePause } ?: false
+
+    fun markUnreachable(owner: RouterId) {
+        if (owner != state.view.self) state = state.copy(unreachable = state.unreachable + (owner to now))
+    }
+
     fun running(attempt: AttemptId): Pair<OpenRequest, Running>? {
         val request = state.requests[attempt.request] ?: return null
         val running = request.phase as? Running ?: return null
@@ -69,55 +97,16 @@
         running(attempt)?.let { (request, running) -> put(change(request, running)) }
     }
 
-    /** Asks all targets from the best on; those that failed this request come last. */
-    fun startRound(request: OpenRequest) {
-        val order = state.fleet?.let { TargetOrder.of(request.head, it) }.orEmpty()
-        val allowed = if (request.answerBegun) order.filter(::resumes) else order
-        val (failed, fresh) = allowed.partition { it in request.failedTargets }
-        seekNext(request.copy(candidates = fresh + failed))
-    }
-
-    /** Asks the next candidate, or pauses before the next round. */
-    fun seekNext(request: OpenRequest) {
-        val target = request.candidates.firstOrNull()
-        if (target == null) {
-            put(request.copy(phase = BackingOff(now + settings.roundPause)))
-        } else {
-            seek(request.copy(candidates = request.candidates.drop(1)), target)
-        }
-    }
-
-    /** Asks the owner of [target] for a permit. */
-    fun seek(request: OpenRequest, target: TargetId) {
-        val attempt = AttemptId(request.head.id, request.attempts + 1)
-        val owner = ownerOf(target) ?: state.view.self
-        val demand = request.demand(target, home = homeOf(request), now = now)
-        put(
-            request.copy(
-                attempts = attempt.number,
-                phase = Seeking(attempt, target, owner, answerDueAt = now + settings.permitTimeout),
-            ),
-        )
-        emit(IngressEffect.SendToOwner(owner, AdmissionMessage.PermitRequest(attempt, target, demand)))
-    }
-
-    fun granted(message: AdmissionMessage.PermitGranted) {
-        val (request, seeking) = seeking(message.attempt) ?: run {
-            releaseLateGrant(message)
-            return
-        }
-        start(request, message.attempt, message.target, seeking.owner)
+    fun start(request: OpenRequest, attempt: AttemptId, target: TargetId, owner: RouterId?) {
+        val running = Running(attempt, target, owner, startedAt = now, lastProgressAt = now)
+        put(request.copy(phase = running, started = request.started + 1))
+        emit(IngressEffect.StartAttempt(attempt, target, resumeAfter = request.delivered))
     }
 
-    /** Runs the request without a permit if the local budget allows it, else asks the next candidate. */
-    fun startOnLocalBudget(request: OpenRequest, seeking: Seeking) {
-        if (!LocalBudget.allows(state, seeking.target)) {
-            seekNext(request)
-            return
-        }
-        countLocal(seeking.target, change = 1)
+    fun startWithoutPermit(request: OpenRequest, target: TargetId) {
+        countLocal(target, change = 1)
         val attempt = AttemptId(request.head.id, request.attempts + 1)
-        start(request.copy(attempts = attempt.number), attempt, seeking.target, owner = null)
+        start(request.copy(attempts = attempt.number), attempt, target, owner = null)
     }
 
     /** Tells the owner that the request does not want its permit or its place in the queue; cancels what runs. */
@@ -138,33 +127,26 @@
 
     fun release(running: Running) {
         if (running.owner == null) countLocal(running.target, change = -1)
-        val owner = ownerOf(running.target) ?: running.owner ?: return
-        val message = AdmissionMessage.PermitReleased(running.attempt, running.target)
-        emit(IngressEffect.SendToOwner(owner, message))
-        if (running.owner != null && running.owner != owner) emit(IngressEffect.SendToOwner(running.owner, message))
+        val timeToFirstToken = running.firstByteAt?.let { it - running.startedAt }
+        val message = AdmissionMessage.PermitReleased(running.attempt, running.target, timeToFirstToken)
+        listOfNotNull(ownerOf(running.target), running.owner).distinct().forEach { owner ->
+            emit(IngressEffect.SendToOwner(owner, message))
+        }
     }
 
-    fun failSilent(request: OpenRequest, running: Running) {
-        emit(IngressEffect.CancelAttempt(running.attempt))
-        release(running)
-        val failed = request.copy(failedTargets = request.failedTargets + running.target)
-        RetryPolicy(settings).next(failed, AttemptFailure.Silent, this)
-    }
+    /** Ends a request that got no answer: as not-run only if no target can have started it. */
+    fun endUnanswered(request: OpenRequest, reason: RefusalReason) =
+        end(request, if (request.started > 0) Outcome.MAY_HAVE_RUN else Outcome.NOT_RUN, reason)
 
-    /** Ends the request: frees its permit, settles its claim and tells the caller. */
+    /** Ends the request: settles its claim and tells the caller. Its permit must have been released. */
     fun end(request: OpenRequest, outcome: Outcome, reason: RefusalReason?) {
-        val current = state.requests[request.head.id] ?: return
-        val running = request.phase as? Running
-        if (running != null && current.phase is Running && !isReleased(running)) release(running)
+        if (request.head.id !in state.requests) return
         state = state.copy(requests = state.requests.remove(request.head.id))
         val ownsClaim = request.head.idempotency is Idempotency.Keyed && outcome != Outcome.ALREADY_RUN
         if (ownsClaim) emit(IngressEffect.FinishClaim(request.head, outcome))
         emit(IngressEffect.EndRequest(request.head.id, outcome, reason))
     }
 
-    fun canResume(request: OpenRequest): Boolean =
-        request.head.streaming && state.fleet?.let { TargetOrder.of(request.head, it) }.orEmpty().any(::resumes)
-
     fun renewPermitsWhenDue() {
         if (now - state.renewedAt >= settings.renewalInterval) renewPermits()
     }
@@ -175,33 +157,19 @@
         state.requests.values
             .mapNotNull { request -> (request.phase as? Running)?.let { request to it } }
             .groupBy { (_, running) -> running.target }
-            .forEach { (target, held) -> renew(target, held) }
-    }
-
-    private fun renew(target: TargetId, held: List<Pair<OpenRequest, Running>>) {
-        val owner = ownerOf(target) ?: return
-        val permits = held.map { (request, running) ->
-            HeldPermit(running.attempt, request.demand(target, home = homeOf(request), now = now))
-        }
-        emit(IngressEffect.SendToOwner(owner, AdmissionMessage.PermitsRenewed(target, permits)))
-    }
-
-    private fun start(request: OpenRequest, attempt: AttemptId, target: TargetId, owner: RouterId?) {
-        put(request.copy(phase = Running(attempt, target, owner, lastProgressAt = now), started = request.started + 1))
-        emit(IngressEffect.StartAttempt(attempt, target, resumeAfter = request.delivered))
+            .forEach { (target, held) -> sendToOwner(target, renewal(target, held)) }
     }
 
-    private fun releaseLateGrant(message: AdmissionMessage.PermitGranted) {
+    fun giveBackLateGrant(message: AdmissionMessage.PermitGranted) {
         if (running(message.attempt) != null) return
-        val owner = ownerOf(message.target) ?: return
-        val release = AdmissionMessage.PermitReleased(message.attempt, message.target)
-        emit(IngressEffect.SendToOwner(owner, release))
+        sendToOwner(message.target, AdmissionMessage.PermitReleased(message.attempt, message.target))
     }
 
-    private fun isReleased(running: Running): Boolean = effects.any {
-        it is IngressEffect.SendToOwner &&
-            it.message == AdmissionMessage.PermitReleased(running.attempt, running.target)
-    }
+    private fun renewal(target: TargetId, held: List<Pair<OpenRequest, Running>>): AdmissionMessage =
+        AdmissionMessage.PermitsRenewed(
+            target = target,
+            permits = held.map { (request, running) -> HeldPermit(running.attempt, demandOf(request, target)) },
+        )
 
     private fun countLocal(target: TargetId, change: Int) {
         val count = (state.localGrants[target] ?: 0) + change
@@ -209,8 +177,8 @@
         state = state.copy(localGrants = grants)
     }
 
-    private fun homeOf(request: OpenRequest): TargetId? =
-        state.fleet?.let { TargetOrder.of(request.head, it).firstOrNull() }
-
-    private fun resumes(target: TargetId): Boolean = state.fleet?.targets?.get(target)?.resumesStreams == true
+    companion object {
+        /** No more time than the deadline itself. */
+        val NO_ALLOWANCE: Duration = Duration.ZERO
+    }
 }
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
@@ -10,7 +10,8 @@
  * A request that its ingress has not finished.
  *
  * [attempts] counts permit requests, [started] the attempts that were offered to a target without proof that they did
- * not run. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
+ * not run. [spills] and [lateAnswers] count the owners of this round that sent the request on, or foresaw that it would
+ * be late. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
  */
 data class OpenRequest(
     val head: RequestHead,
@@ -20,7 +21,8 @@
     val failedTargets: Set<TargetId> = emptySet(),
     val attempts: Int = 0,
     val started: Int = 0,
-    val crashes: Int = 0,
+    val spills: Int = 0,
+    val lateAnswers: Int = 0,
     val delivered: Int = 0,
     val answerBegun: Boolean = false,
 ) {
@@ -40,5 +42,6 @@
         outputTokens = head.outputTokens,
         home = target == home,
         returning = (head.turn ?: 1) > 1,
+        spills = spills,
     )
 }
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/RequestPhase.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/RequestPhase.kt
@@ -15,7 +15,7 @@
     /** Waits until [until] before it asks all targets again. */
     data class BackingOff(val until: Timestamp) : RequestPhase()
 
-    /** Asked [owner] for a permit on [target]; an answer is due at [answerDueAt], none is expected while queued. */
+    /** Asked [owner] for a permit on [target]; its next answer is due at [answerDueAt]. */
     data class Seeking(
         val attempt: AttemptId,
         val target: TargetId,
@@ -29,7 +29,9 @@
         val attempt: AttemptId,
         val target: TargetId,
         val owner: RouterId?,
+        val startedAt: Timestamp,
         val lastProgressAt: Timestamp,
+        val firstByteAt: Timestamp? = null,
         val probe: ProbeState = ProbeState.NOT_SENT,
     ) : RequestPhase()
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -85,6 +85,7 @@
         addressOf = { loop.state.view.routers[it]?.address },
         observer = metrics,
         receive = { from, message -> loop.submit(RouterEvent.PeerMessageReceived(from, message)) },
+        unreachable = { loop.submit(RouterEvent.PeerUnreachable(it)) },
     )
     private val datagrams = PeerDatagrams(
         listenAddress = settings.peerAddress,
@@ -175,7 +176,11 @@
 
             is IngressEffect.ProbeTarget -> probe(effect)
 
-            is IngressEffect.Claim, is IngressEffect.FinishClaim, is IngressEffect.SendToOwner -> Unit
+            is IngressEffect.Claim,
+            is IngressEffect.FinishClaim,
+            is IngressEffect.SendToOwner,
+            is IngressEffect.ReportCrash,
+            -> Unit
         }
     }
 
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
@@ -72,7 +72,7 @@
                         put("service", target.service.value)
                         put("leaving", target.leaving)
                         put("owner", TargetOwnership.ownerOf(id, current.view)?.value)
-                        put("permits", current.admission.permits[id]?.size)
+                        put("permits", current.admission.inFlight(id))
                     }
                 }
             }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLink.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLink.kt
@@ -29,8 +29,9 @@
 import org.cicadaarch.router.runtime.MonotonicClock
 
 /**
- * The outgoing connection to one router. It ends, through [onClosed], when the connection fails, when it was not used
- * for [IDLE_LIMIT], or when the other end does not echo a heartbeat in time although messages were sent.
+ * The outgoing connection to one router. It ends when the connection fails, when it was not used for [IDLE_LIMIT], or
+ * when the other end does not echo a heartbeat in time although messages were sent;
+ * [onClosed] hears whether it failed.
  */
 internal class PeerLink(
     private val self: RouterId,
@@ -38,12 +39,15 @@
     private val selector: SelectorManager,
     scope: CoroutineScope,
     private val observer: PeerObserver,
-    private val onClosed: () -> Unit,
+    private val onClosed: (Boolean) -> Unit,
 ) {
     private val outgoing = Channel<PeerMessage>(QUEUE_CAPACITY)
     private val lastSent = AtomicLong(MonotonicClock.now().milliseconds)
     private val lastEcho = AtomicLong(MonotonicClock.now().milliseconds)
 
+    @Volatile
+    private var idle = false
+
     init {
         scope.launch { run() }
     }
@@ -68,7 +72,7 @@
                 "cause" to exception.message
             }
         } finally {
-            onClosed()
+            onClosed(!idle)
             outgoing.close()
             while (true) observer.onDropped(outgoing.tryReceive().getOrNull() ?: break)
         }
@@ -104,7 +108,10 @@
             if (awaited != null && lastEcho.get() < awaited && now - awaited > ECHO_TIMEOUT.inWholeMilliseconds) {
                 error("no echo of a heartbeat within $ECHO_TIMEOUT")
             }
-            if (now - lastSent.get() > IDLE_LIMIT.inWholeMilliseconds) error("not used for $IDLE_LIMIT")
+            if (now - lastSent.get() > IDLE_LIMIT.inWholeMilliseconds) {
+                idle = true
+                error("not used for $IDLE_LIMIT")
+            }
             if (awaitedSince == null && lastSent.get() > lastEcho.get()) {
                 awaitedSince = now
                 number++
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
@@ -36,6 +36,7 @@
     private val addressOf: (RouterId) -> RouterAddress?,
     private val observer: PeerObserver,
     private val receive: (RouterId, PeerMessage) -> Unit,
+    private val unreachable: (RouterId) -> Unit,
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
@@ -63,7 +64,9 @@
             observer.onDropped(message)
             return
         }
-        links.computeIfAbsent(to) { PeerLink(self, address, selector, scope, observer) { links.remove(to) } }
+        links.computeIfAbsent(to) {
+            PeerLink(self, address, selector, scope, observer) { failed -> closed(to, failed) }
+        }
             .send(message)
     }
 
@@ -72,6 +75,11 @@
         selector.close()
     }
 
+    private fun closed(router: RouterId, failed: Boolean) {
+        links.remove(router)
+        if (failed) unreachable(router)
+    }
+
     private suspend fun serve(socket: Socket) {
         try {
             socket.use { receiveFrames(it) }
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
@@ -209,7 +209,11 @@
                 is IngressEffect.EndRequest -> requests.getValue(effect.request)
                     .end(effect.outcome, effect.reason, clock.now)
 
-                is IngressEffect.Claim, is IngressEffect.FinishClaim, is IngressEffect.SendToOwner -> Unit
+                is IngressEffect.Claim,
+                is IngressEffect.FinishClaim,
+                is IngressEffect.SendToOwner,
+                is IngressEffect.ReportCrash,
+                -> Unit
             }
         }
 
