Close the stand-ins' listeners before their event loop ends

Cause: the test of a list that is gone failed once: the fetch timed out instead of being unreachable. The kernel still had the closed stand-in's port in the listening state; shutting down the event loop alone leaves a listener open now and then.

Change: StandInServer closes its listeners first and then the event loop. A missing lease is recognised by the store's message, since the code 5 also stands for an unknown path.

--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/EtcdStore.kt
+++ b/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/EtcdStore.kt
@@ -147,9 +147,8 @@
         StoreResult.Unanswered("malformed answer: ${exception.message}")
     }
 
-    // Only a lease is looked up by identity, so a missing thing is a missing lease.
     private fun rejectionOf(error: ErrorAnswer): StoreResult =
-        if (error.code == NOT_FOUND_CODE) StoreResult.LeaseLost else StoreResult.Refused(error.message)
+        if (LEASE_NOT_FOUND in error.message) StoreResult.LeaseLost else StoreResult.Refused(error.message)
 
     // The first key after all keys with the prefix; every key when the prefix is empty.
     private fun prefixEnd(prefix: String): String = when {
@@ -158,7 +157,7 @@
     }
 
     private companion object {
-        const val NOT_FOUND_CODE = 5
+        const val LEASE_NOT_FOUND = "requested lease not found"
         const val ALL_KEYS_END = "\u0000"
 
         // 408 and 499 stand for a cancelled call, which may have taken effect.
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StandInServer.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StandInServer.kt
@@ -30,6 +30,8 @@
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = eventLoopGroup.next()
     private val connections = DefaultChannelGroup(eventLoop)
+
+    @Volatile
     private var listener: Channel = bind(port, connections)
     private val controlListener: Channel = bind(controlPort, DefaultChannelGroup(eventLoop))
     private var isListening = true
@@ -64,7 +66,9 @@
         .filterNot { exempt.isOn(it) }
         .forEach { it.attr(StandInExchange.SILENT).set(true) }
 
+    // The event loops' own shutdown may leave a listener open in the kernel.
     override fun close() {
+        listOf(listener, controlListener).forEach { it.close().syncUninterruptibly() }
         eventLoopGroup.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS).syncUninterruptibly()
     }
 
