--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreFault.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreFault.kt
@@ -7,7 +7,7 @@
  * The present fault of the store. [delayMilliseconds] is the time that a slow store takes for an answer.
  */
 @Serializable
-internal data class StoreFault(val mode: Mode, val delayMilliseconds: Long = 0) {
+data class StoreFault(val mode: Mode, val delayMilliseconds: Long = 0) {
     @Serializable
     enum class Mode {
         /** Every call is answered. */
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/TargetFault.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/TargetFault.kt
@@ -7,7 +7,7 @@
  * The present fault of a target. [text] is what crashes it and [factor] multiplies the times of a slow target.
  */
 @Serializable
-internal data class TargetFault(val mode: Mode, val text: String = "", val factor: Double = 1.0) {
+data class TargetFault(val mode: Mode, val text: String = "", val factor: Double = 1.0) {
     @Serializable
     enum class Mode {
         /** Requests run as usual. */
