Deliver every change to the store stand-in's watches in order

Cause: a change written while answers were lost never reached a waiting watch, and a change delayed by a slow store could be overtaken by a later one. A client that goes on from the last revision would then miss a change, which the real store's watches never do.

Change: each watch remembers the next revision that it has not sent and sends from the history. Lost answers close the connections of watches too.

The new test covers the lost answer; overtaking under a slow store has no test of its own.

Conclusion: a watch ends or tells every change.

--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreContents.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreContents.kt
@@ -5,7 +5,7 @@
 /**
  * The keys, leases and history of the store in memory. Leases lapse by the monotonic clock, given in nanoseconds.
  */
-internal class StoreContents(private val historyLimit: Int, private val onChanges: (List<StoreChange>) -> Unit) {
+internal class StoreContents(private val historyLimit: Int, private val onWrite: () -> Unit) {
     private val entries = TreeMap<String, StoreEntry>()
     private val leases = mutableMapOf<Long, Lease>()
     private val history = ArrayDeque<StoreChange>()
@@ -30,25 +30,20 @@
     }
 
     /** The changes in the range of [key] and [end] from [firstRevision] on. */
-    fun changes(key: String, end: String?, firstRevision: Long): List<StoreChange> =
-        history.filter { it.revision >= firstRevision && contains(key, end, it.key) }
-
-    /** Tells whether [candidate] is in the range of [key] and [end]. */
-    fun contains(key: String, end: String?, candidate: String): Boolean = when (end) {
-        null -> candidate == key
-        NO_END -> candidate >= key
-        else -> candidate >= key && candidate < end
-    }
+    fun changes(key: String, end: String?, firstRevision: Long): List<StoreChange> = history
+        .asReversed()
+        .takeWhile { it.revision >= firstRevision }
+        .filter { contains(key, end, it.key) }
+        .asReversed()
 
     /** Writes all [puts] and deletes [deletions] at one new revision; nothing happens when there is no such key. */
     fun write(puts: List<StorePut>, deletions: List<String>) {
         val doomed = deletions.filter { it in entries }
         if (puts.isEmpty() && doomed.isEmpty()) return
         revision++
-        val changes = puts.map { put(it) } + doomed.map { delete(it) }
-        history.addAll(changes)
+        history += puts.map { put(it) } + doomed.map { delete(it) }
         while (history.size > historyLimit) compactRevision = history.removeFirst().revision
-        onChanges(changes)
+        onWrite()
     }
 
     /** Grants a lease of [seconds] and returns its identity. */
@@ -78,6 +73,12 @@
     /** Ends all leases that were not renewed in time. */
     fun expire(now: Long) = leases.filterValues { it.expiry - now <= 0 }.keys.toList().forEach { revoke(it) }
 
+    private fun contains(key: String, end: String?, candidate: String): Boolean = when (end) {
+        null -> candidate == key
+        NO_END -> candidate >= key
+        else -> candidate >= key && candidate < end
+    }
+
     private fun put(put: StorePut): StoreChange {
         val before = entries[put.key]
         val after = StoreEntry(
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreStandIn.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StoreStandIn.kt
@@ -21,7 +21,7 @@
  * is down.
  */
 class StoreStandIn(port: Int = 0, controlPort: Int = 0, historyLimit: Int = DEFAULT_HISTORY_LIMIT) : AutoCloseable {
-    private val contents = StoreContents(historyLimit) { announce(it) }
+    private val contents = StoreContents(historyLimit) { announce() }
     private val watches = mutableSetOf<Watch>()
     private val calls = mutableMapOf<String, Int>()
     private var fault = StoreFault(StoreFault.Mode.UP)
@@ -154,7 +154,7 @@
 
     private fun watch(exchange: StandInExchange, request: JsonObject) {
         val firstRevision = request.long("start_revision").takeIf { it > 0 } ?: (contents.revision + 1)
-        val watch = Watch(exchange, request.bytes("key"), request.bytesOrNull("range_end"))
+        val watch = Watch(exchange, request.bytes("key"), request.bytesOrNull("range_end"), firstRevision)
         exchange.beginStream("application/json")
         if (firstRevision <= contents.compactRevision) {
             exchange.writeChunk(cancellation().toString() + "\n")
@@ -162,7 +162,7 @@
             return
         }
         exchange.writeChunk(watchBody { put("created", true) })
-        send(watch, contents.changes(watch.key, watch.end, firstRevision))
+        send(watch)
         watches += watch
         exchange.onClosed { watches -= watch }
     }
@@ -177,16 +177,18 @@
         )
     }
 
-    private fun announce(changes: List<StoreChange>) {
-        if (fault.mode == StoreFault.Mode.LOSE_ANSWERS) return
-        val delay = if (fault.mode == StoreFault.Mode.SLOW) fault.delayMilliseconds.milliseconds else 0.milliseconds
-        watches.toList().forEach { watch ->
-            val seen = changes.filter { contents.contains(watch.key, watch.end, it.key) }
-            if (delay.isPositive()) server.schedule(delay) { send(watch, seen) } else send(watch, seen)
+    private fun announce() = watches.toList().forEach { watch ->
+        when (fault.mode) {
+            StoreFault.Mode.SLOW -> server.schedule(fault.delayMilliseconds.milliseconds) { send(watch) }
+            StoreFault.Mode.LOSE_ANSWERS -> watch.exchange.drop()
+            StoreFault.Mode.UP, StoreFault.Mode.DOWN -> send(watch)
         }
     }
 
-    private fun send(watch: Watch, changes: List<StoreChange>) {
+    // Sends all that the watch has not seen, so that no change overtakes an earlier one.
+    private fun send(watch: Watch) {
+        val changes = contents.changes(watch.key, watch.end, watch.nextRevision)
+        watch.nextRevision = maxOf(watch.nextRevision, contents.revision + 1)
         if (changes.isEmpty()) return
         watch.exchange.writeChunk(watchBody { putJsonArray("events") { changes.forEach { add(changeBody(it)) } } })
     }
@@ -227,7 +229,7 @@
 
     private data class Reply(val body: JsonObject, val status: Int = 200)
 
-    private class Watch(val exchange: StandInExchange, val key: String, val end: String?)
+    private class Watch(val exchange: StandInExchange, val key: String, val end: String?, var nextRevision: Long)
 
     private companion object {
         const val DEFAULT_HISTORY_LIMIT = 10_000
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/StoreStandInTest.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/StoreStandInTest.kt
@@ -91,6 +91,21 @@
         assertEquals(StoreResult.Values(listOf(written), revision = 3), change.get(20, TimeUnit.SECONDS))
     }
 
+    @Test
+    fun `Given a waiting watch, when the answer to a write is lost, then the watch is unanswered and finds it later`() {
+        val standIn = standIn()
+        val store = storeOf(standIn, requestTimeout = 20.seconds)
+        val watch = StoreCommand.AwaitChange("a/", afterRevision = 1, timeout = 20.seconds)
+        val change = store.start(watch)
+        eventually({ LoopbackHttp(standIn.controlPort).get("/calls") }) { "watch" in it }
+        standIn.fault("""{"mode":"lose-answers"}""")
+        store.run(set("a/1", "1"))
+        assertIs<StoreResult.Unanswered>(change.get(20, TimeUnit.SECONDS))
+        standIn.fault("""{"mode":"up"}""")
+        val found = assertIs<StoreResult.Values>(eventually({ store.run(watch) }) { it is StoreResult.Values })
+        assertEquals(listOf("a/1"), found.values.map { it.key })
+    }
+
     @Test
     fun `Given a short history, when a watch starts before it, then the watch is refused`() {
         val store = storeOf(standIn(historyLimit = 1), requestTimeout = 20.seconds)
