Add cicadactl, the operators' command line

Cause: operators need to check, compare and apply the fleet document, switch presets, see where a revision runs and drain, without losing one another's edits. Change: subcommands validate, diff, apply, show, preset, status, explain, drain and hash-credential in text or JSON, with documented exit codes. Writes compare and swap on the revision; an unanswered one is sent again with the same expected revision and settled from the store's history. A conflict lists each change made since with its author, and the operator's own edit of the base. apply refuses a file that names no base revision once the store has a document: the present revision as default would silently undo another operator's edit.

--- /dev/null
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStore.kt
@@ -0,0 +1,114 @@
+package org.cicadaarch.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.configuration.spread.FleetKey
+import org.cicadaarch.model.store.ExpectedState
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.model.store.StoredValue
+import org.cicadaarch.platform.Store
+
+/**
+ * Reads and writes the fleet document in the platform's [store], trying each [attempts] times.
+ *
+ * A write whose answer was lost is sent again with the same expected revision: either it takes effect now, or the
+ * store's history after that revision tells whether the lost one did.
+ */
+class FleetStore(
+    store: Store,
+    timeout: Duration = CALL_TIMEOUT,
+    private val attempts: Int = ATTEMPTS,
+    private val pause: Duration = PAUSE,
+) {
+    private val caller = StoreCaller(store, timeout)
+
+    /** The document in the store, null when there is none. */
+    fun read(): Either<ControlError, StoredDocument?> {
+        var reason = ""
+        repeat(attempts) { attempt ->
+            if (attempt > 0) waitForNext()
+            val result = caller.call(StoreCommand.Read(FleetKey.VALUE))
+            if (result is StoreResult.Values) return documentOf(result.values.firstOrNull()).right()
+            reason = reasonOf(result)
+        }
+        return ControlError.Unreachable(STORE, reason).left()
+    }
+
+    /** Writes [text] if the document is at [expected], 0 for none; gives the revision that the write had. */
+    fun write(text: String, expected: Long): Either<ControlError, Long> {
+        val command = StoreCommand.CompareAndSet(FleetKey.VALUE, expectedState(expected), text)
+        var mayHaveRun = false
+        var reason = ""
+        repeat(attempts) { attempt ->
+            if (attempt > 0) waitForNext()
+            when (val result = caller.call(command)) {
+                is StoreResult.Written -> return result.revision.right()
+
+                is StoreResult.Conflict -> return when {
+                    mayHaveRun -> settle(text, expected, result.current)
+                    else -> conflict(expected, result.current).left()
+                }
+
+                else -> {
+                    mayHaveRun = mayHaveRun || result is StoreResult.Unanswered
+                    reason = reasonOf(result)
+                }
+            }
+        }
+        return if (mayHaveRun) ControlError.Unsettled(reason).left() else ControlError.Unreachable(STORE, reason).left()
+    }
+
+    /** The documents from [revision] to [last] in order, without those that the store does not give any more. */
+    fun historyFrom(revision: Long, last: StoredDocument): List<StoredDocument> {
+        val earlier = changesAfter(revision - 1).mapNotNull(::documentOf).filter { it.revision < last.revision }
+        return earlier + last
+    }
+
+    private fun settle(text: String, expected: Long, current: StoredValue?): Either<ControlError, Long> {
+        if (current?.value == text) return current.revision.right()
+        // Only one write can follow the expected revision directly.
+        val next = changesAfter(expected).firstOrNull()
+        return when {
+            next == null -> ControlError.Unsettled("the store gives no history after revision $expected").left()
+            next.value == text -> next.revision.right()
+            else -> conflict(expected, current).left()
+        }
+    }
+
+    private fun changesAfter(revision: Long): List<StoredValue> {
+        val history = caller.call(StoreCommand.AwaitChange(FleetKey.VALUE, revision, HISTORY_TIMEOUT))
+        return (history as? StoreResult.Values)?.values.orEmpty()
+            .filter { it.key == FleetKey.VALUE }
+            .sortedBy { it.revision }
+    }
+
+    private fun conflict(expected: Long, current: StoredValue?) =
+        ControlError.Conflict(expected = expected, current = documentOf(current))
+
+    private fun documentOf(value: StoredValue?): StoredDocument? =
+        value?.value?.let { StoredDocument(value.revision, it) }
+
+    private fun expectedState(revision: Long): ExpectedState =
+        if (revision == 0L) ExpectedState.Absent else ExpectedState.AtRevision(revision)
+
+    private fun reasonOf(result: StoreResult): String = when (result) {
+        is StoreResult.Refused -> result.reason
+        is StoreResult.Unanswered -> result.reason
+        else -> "unexpected answer $result"
+    }
+
+    private fun waitForNext() = Thread.sleep(pause.inWholeMilliseconds)
+
+    private companion object {
+        const val STORE = "store"
+        const val ATTEMPTS = 6
+        val PAUSE = 500.milliseconds
+        val CALL_TIMEOUT = 5.seconds
+        val HISTORY_TIMEOUT = 1.seconds
+    }
+}
--- /dev/null
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Main.kt
@@ -0,0 +1,22 @@
+package org.cicadaarch.control
+
+import kotlin.system.exitProcess
+
+/** The operators' command line; the exit codes are those of [ExitCode]. */
+fun main(arguments: Array<String>) {
+    val usageExit = Thread { Runtime.getRuntime().halt(ExitCode.USAGE.code) }
+    // The option parser ends the process by a code of its own when the command line is wrong.
+    if (!asksForHelp(arguments)) Runtime.getRuntime().addShutdownHook(usageExit)
+    val commandLine = CommandLine(
+        environment = System.getenv(),
+        output = System.out,
+        errorOutput = System.err,
+        readLine = ::readlnOrNull,
+    )
+    val exitCode = commandLine.run(arguments.toList())
+    Runtime.getRuntime().removeShutdownHook(usageExit)
+    exitProcess(exitCode.code)
+}
+
+private fun asksForHelp(arguments: Array<String>): Boolean =
+    arguments.isEmpty() || arguments.any { it == "--help" || it == "-h" }
--- /dev/null
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ChangeReport.kt
@@ -0,0 +1,54 @@
+package org.cicadaarch.control.command
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.cicadaarch.control.Change
+import org.cicadaarch.control.ExitCode
+import org.cicadaarch.control.FleetStatus
+import org.cicadaarch.control.OperatorsClient
+import org.cicadaarch.control.Report
+import org.cicadaarch.control.RolloutWatcher
+import org.cicadaarch.control.jsonOf
+
+/**
+ * Tells of an accepted change and how far it has come.
+ */
+internal class ChangeReport(private val operators: OperatorsClient, private val rollout: RolloutWatcher) {
+    /** Waits for the routers, if any are named, and reports. */
+    fun of(change: Change): Report = when {
+        operators.hasEndpoints -> withRollout(change, rollout.await(change.revision))
+        else -> report(change, "no router was asked: give --operators to see where it is in force", null)
+    }
+
+    private fun withRollout(change: Change, status: FleetStatus?): Report {
+        val behind = status?.behind(change.revision).orEmpty()
+        return when {
+            status == null -> report(change, "no router answered", null, ExitCode.NOT_IN_FORCE)
+
+            behind.isEmpty() -> report(change, "in force on all ${status.routers.size} routers", status)
+
+            else -> report(
+                change,
+                "in force on ${status.running(change.revision)} of ${status.routers.size} routers; " +
+                    "not yet on ${behind.joinToString { it.router }}",
+                status,
+                ExitCode.NOT_IN_FORCE,
+            )
+        }
+    }
+
+    private fun report(change: Change, progress: String, status: FleetStatus?, exitCode: ExitCode = ExitCode.DONE) =
+        Report(
+            text = (change.differences.map { "  $it" } + "revision ${change.revision}" + progress).joinToString("\n"),
+            json = buildJsonObject {
+                put("revision", change.revision)
+                put("differences", jsonOf(change.differences))
+                put("routers", status?.routers?.size)
+                put("running", status?.running(change.revision))
+                put("behind", JsonArray(status?.behind(change.revision).orEmpty().map { JsonPrimitive(it.router) }))
+            },
+            exitCode = exitCode,
+        )
+}
--- /dev/null
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/FleetStoreTest.kt
@@ -0,0 +1,42 @@
+package org.cicadaarch.control
+
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.configuration.spread.FleetKey
+import org.cicadaarch.control.LossyStore.Fault
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+
+class FleetStoreTest {
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `Given faults of the store, when a document is written, then its fate is told truly`(case: Case) {
+        val store = LossyStore(case.faults)
+        store.put(FleetKey.VALUE, "first")
+        val result = FleetStore(store, timeout = 1.seconds, attempts = 3, pause = 1.milliseconds).write("mine", 1)
+        assertEquals(case.outcome, result.fold({ it::class.simpleName.orEmpty() }, { "written at $it" }))
+        assertEquals(case.texts, store.texts.drop(1))
+    }
+
+    /** With [faults] the write has [outcome] and [texts] follow the first document. */
+    data class Case(val faults: List<Fault>, val outcome: String, val texts: List<String>)
+
+    companion object {
+        private const val MINE = "mine"
+        private const val OTHER = LossyStore.OTHER
+
+        @JvmStatic
+        fun cases(): List<Case> = listOf(
+            Case(listOf(), "written at 2", listOf(MINE)),
+            Case(listOf(Fault.REFUSED), "written at 2", listOf(MINE)),
+            Case(listOf(Fault.LOST), "written at 2", listOf(MINE)),
+            Case(listOf(Fault.ANSWER_LOST), "written at 2", listOf(MINE)),
+            Case(listOf(Fault.ANSWER_LOST_AND_OVERTAKEN), "written at 2", listOf(MINE, OTHER)),
+            Case(listOf(Fault.LOST_AND_FORESTALLED), "Conflict", listOf(OTHER)),
+            Case(listOf(Fault.REFUSED, Fault.LOST_AND_FORESTALLED), "Conflict", listOf(OTHER)),
+            Case(List(3) { Fault.REFUSED }, "Unreachable", listOf()),
+            Case(List(3) { Fault.LOST }, "Unsettled", listOf()),
+        )
+    }
+}
