--- /dev/null
+++ b/cicadaarch-orders/src/main/kotlin/org/cicadaarch/orders/OrderGroup.kt
@@ -0,0 +1,35 @@
+package org.cicadaarch.orders
+
+import org.cicadaarch.model.RegionName
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.ServiceName
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.fleet.ServiceKind
+import org.cicadaarch.model.fleet.Target
+import org.cicadaarch.placement.RendezvousHash
+
+/**
+ * The model engines of one service in one region, which take orders from one holder at a time.
+ */
+data class OrderGroup(val service: ServiceName, val region: RegionName) {
+    /** The store's key that the holder's lease guards. */
+    val key: String get() = "orders/$service/$region"
+
+    /** The engines of this group in [fleet]. */
+    fun targetsIn(fleet: FleetDocument): Map<TargetId, Target> =
+        fleet.targetsOf(service).filterValues { fleet.regionOf(it.zone) == region }
+
+    /** The router that should hold the group in [view], or null when no router takes roles. */
+    fun holderIn(view: RouterView): RouterId? =
+        RendezvousHash.first(key = key, members = view.roleHolders, name = { it.id.value })?.id
+
+    companion object {
+        /** All groups of [fleet]'s model engines. */
+        fun allIn(fleet: FleetDocument): Set<OrderGroup> = fleet.targets.values
+            .filter { fleet.services[it.service]?.kind == ServiceKind.MODEL }
+            .mapNotNull { target -> fleet.regionOf(target.zone)?.let { OrderGroup(target.service, it) } }
+            .toSet()
+    }
+}
