--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardIndex.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/ShardIndex.kt
@@ -48,16 +48,17 @@
     )
 
     internal companion object {
-        private const val ENTRY_BYTES = 96
+        private const val OPEN_ENTRY_BYTES = 96
+        private const val FINISHED_ENTRY_BYTES = 72
 
         fun of(entries: Map<ClaimKey, LedgerEntry>): ShardIndex = ShardIndex(
             entries = entries.toPersistentHashMap(),
             bytes = entries.values.sumOf(::sizeOf),
         )
 
-        private fun sizeOf(entry: LedgerEntry): Int = ENTRY_BYTES + when (entry) {
-            is LedgerEntry.Open -> entry.nonce.toString().encodeToByteArray().size
-            is LedgerEntry.Finished -> entry.digest?.length ?: 0
+        private fun sizeOf(entry: LedgerEntry): Int = when (entry) {
+            is LedgerEntry.Open -> OPEN_ENTRY_BYTES + entry.nonce.toString().encodeToByteArray().size
+            is LedgerEntry.Finished -> FINISHED_ENTRY_BYTES + entry.digest.orEmpty().encodeToByteArray().size
         }
 
         private fun LedgerEntry.hasExpired(epochSeconds: Long, retentionSeconds: Long): Boolean =
--- a/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/FakeStore.kt
+++ b/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/FakeStore.kt
@@ -14,7 +14,6 @@
     private var revision = 0L
     var mode = Mode.HEALTHY
 
-    val largestValue: Int get() = values.values.maxOfOrNull { it.value.orEmpty().length } ?: 0
     val keys: Set<String> get() = values.keys
 
     fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) {
--- /dev/null
+++ b/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/ShardIndexTest.kt
@@ -0,0 +1,88 @@
+package org.cicadaarch.ledger
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.IdempotencyKey
+import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.RouterId
+
+class ShardIndexTest {
+    private val holder = claim(key = 1, request = "first")
+    private val other = claim(key = 1, request = "second")
+
+    private data class Case(val records: List<LedgerRecord>, val expected: LedgerEntry?)
+
+    @Test
+    fun `Given records of a chain, when they are replayed, then only the holder changes its key`() {
+        val cases = listOf(
+            Case(listOf(LedgerRecord.Claimed(holder)), LedgerEntry.Open(holder.nonce, NOW)),
+            Case(listOf(LedgerRecord.Claimed(holder), LedgerRecord.Abandoned(holder)), null),
+            Case(
+                listOf(LedgerRecord.Claimed(holder), LedgerRecord.Abandoned(other)),
+                LedgerEntry.Open(holder.nonce, NOW),
+            ),
+            Case(
+                listOf(
+                    LedgerRecord.Claimed(holder),
+                    LedgerRecord.Finished(holder, RunResult.COMPLETED, "digest"),
+                    LedgerRecord.Abandoned(holder),
+                ),
+                LedgerEntry.Finished(RunResult.COMPLETED, NOW, "digest"),
+            ),
+            Case(
+                listOf(
+                    LedgerRecord.Claimed(holder),
+                    LedgerRecord.Abandoned(holder),
+                    LedgerRecord.Claimed(other),
+                    LedgerRecord.Finished(holder, RunResult.MAY_HAVE_RUN),
+                ),
+                LedgerEntry.Open(other.nonce, NOW),
+            ),
+        )
+        cases.forEach { case ->
+            val index = ShardIndex().after(case.records, NOW)
+            assertEquals(case.expected, index.entryOf(holder.key, NOW, RETENTION), "after ${case.records}")
+        }
+    }
+
+    @Test
+    fun `Given an entry, when the retention is over, then its key is free`() {
+        val index = ShardIndex().after(LedgerRecord.Claimed(holder), NOW)
+        val ages = listOf(0L to true, RETENTION to true, RETENTION + 1 to false)
+        ages.forEach { (age, isHeld) ->
+            assertEquals(isHeld, index.entryOf(holder.key, NOW + age, RETENTION) != null, "at age $age")
+            assertEquals(isHeld, !index.withoutExpired(NOW + age, RETENTION).entries.isEmpty(), "at age $age")
+        }
+    }
+
+    @Test
+    fun `Given many changes, when a snapshot is encoded, then the index's size bounds it`() {
+        val random = Random(1)
+        var index = ShardIndex()
+        repeat(5_000) { number ->
+            val claim = claim(key = random.nextInt(500), request = "request-$number")
+            val record = when (random.nextInt(3)) {
+                0 -> LedgerRecord.Abandoned(claim)
+                else -> LedgerRecord.Claimed(claim)
+            }
+            index = index.after(record, NOW).after(LedgerRecord.Finished(claim, RunResult.COMPLETED, "d$number"), NOW)
+            if (number % 2 == 0) index = index.after(LedgerRecord.Claimed(claim), NOW)
+        }
+        val encoded = LedgerCodec.encode(Snapshot(lastSequence = 5_000, index.entries))
+        assertTrue(encoded.length <= index.bytes + 64, "${encoded.length} is over ${index.bytes}")
+        assertEquals(ShardIndex.of(index.entries), index)
+    }
+
+    private fun claim(key: Int, request: String): Claim = Claim(
+        ClaimKey.of(AccountId("orchard"), IdempotencyKey("k$key")),
+        ClaimNonce(RequestId(request), RouterId("router-1")),
+    )
+
+    private companion object {
+        const val NOW = 1_790_000_000L
+        const val RETENTION = 100L
+    }
+}
