Wait where the prefix is, and move queued requests to free slots

Change: a returning chat waits where its prefix is while that takes less than computing the prompt anew; a queued request moves to a target with free slots only while one is left that has not spilled it; a full queue displaces the last request of the largest account; first tokens count in lateness.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AccountQueue.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AccountQueue.kt
@@ -14,7 +14,10 @@
         lines[priority]?.let { it.attempts[it.head] }
     }
 
-    /** Adds [attempt] behind its priority's others; the result's second part is its position for [minus]. */
+    /** The attempt that is served last; null when none waits. */
+    fun last(): AttemptId? = Priority.entries.reversed().firstNotNullOfOrNull { lines[it]?.last() }
+
+    /** Adds [attempt] behind its priority's others. */
     fun plus(attempt: AttemptId, priority: Priority): AccountQueue {
         val line = lines[priority] ?: Line()
         return AccountQueue(lines.put(priority, line.plus(attempt)), size + 1)
@@ -31,6 +34,8 @@
         val head: Long = 0,
         val tail: Long = 0,
     ) {
+        internal fun last(): AttemptId? = (tail - 1 downTo head).firstNotNullOfOrNull { number -> attempts[number] }
+
         internal fun plus(attempt: AttemptId): Line = Line(
             attempts = attempts.put(tail, attempt),
             numbers = numbers.put(attempt, tail),
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
@@ -27,8 +27,9 @@
         AdmissionMessage()
 
     /**
-     * Owner to ingress: ask another target. [hint] is to be asked first: it ran the chat before or has free slots.
-     * With [roomLeft] the sender's target has free slots and may be asked again, should [hint] have none.
+     * Owner to ingress: ask another target. [hint] is to be asked first: it has free slots, or with [hintRanChat] it
+     * ran the chat last. With [roomLeft] the sender's target has free slots and may be asked again, should [hint] have
+     * none.
      */
     @Serializable
     data class PermitSpilled(
@@ -36,6 +37,7 @@
         val target: TargetId,
         val hint: TargetId?,
         val roomLeft: Boolean = false,
+        val hintRanChat: Boolean = false,
     ) : AdmissionMessage()
 
     /** Owner to ingress: [attempt] will not run on [target]. */
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionSettings.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionSettings.kt
@@ -1,24 +1,24 @@
 package org.cicadaarch.admission
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Settings of admission owners.
  *
  * A permit lapses after [permitLease]. A target's queue holds at most [queuePerSlot] requests per slot. A request that
- * was spilled [maximumSpills] times is queued where it asks next. A returning chat waits at its home rather than spill
- * when the expected wait is at most [homePatience]. [spillMemory] chats per target are remembered, and followed to the
- * target that ran them last when [followsSpills]. A chat without a prefix is taken at its home only while the home
- * carries less than [newChatMultiple] of the mean. Without [boundsLoad] only the capacity limits a target; without
- * [sharesFairly] the queue is served in order of arrival.
+ * was spilled [maximumSpills] times is queued where it asks next. A returning chat waits where its prefix is rather
+ * than spill while that takes less than computing its prompt anew, at [recomputeTime] per token. [spillMemory] chats
+ * per target are remembered, and followed to the target that ran them last when [followsSpills]. A chat without a
+ * prefix is taken at its home only while the home carries less than [newChatMultiple] of the mean. Without
+ * [boundsLoad] only the capacity limits a target; without [sharesFairly] the queue is served in order of arrival.
  */
 data class AdmissionSettings(
     val permitLease: Duration = 10.seconds,
     val queuePerSlot: Int = 8,
     val maximumSpills: Int = 3,
-    val homePatience: Duration = 200.milliseconds,
+    val recomputeTime: Duration = 300.microseconds,
     val spillMemory: Int = 4_096,
     val followsSpills: Boolean = true,
     val newChatMultiple: Double = 1.0,
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairQueue.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairQueue.kt
@@ -50,6 +50,18 @@
         ?.let { accounts.getValue(it).first() }
         ?.let { entries.getValue(it) }
 
+    /**
+     * The request that gives way when the queue is full and one of [account] comes: the last of the account with most
+     * waiting requests for its weight. Null when that is [account] itself.
+     */
+    fun givesWayTo(account: AccountId, weight: (AccountId) -> Int): QueuedRequest? {
+        val share = { other: AccountId -> (accounts[other]?.size ?: 0).toDouble() / weight(other) }
+        val largest = accounts.keys.maxWithOrNull(compareBy<AccountId> { share(it) }.thenBy { it })
+        return largest?.takeIf { share(it) > share(account) + 1.0 }
+            ?.let { accounts.getValue(it).last() }
+            ?.let { entries.getValue(it) }
+    }
+
     /** Charges [account] with [work] that begins now, at [weight]. */
     fun charged(account: AccountId, work: Double, weight: Int): FairQueue {
         val start = startTag(account)
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
@@ -10,8 +10,9 @@
  * What an admission owner weighs: whose request it is and how much work it brings.
  *
  * [timeAllowed] is what remains until the first byte is due. [promptTokens] is the whole prompt; [home] tells that the
- * target is the first in the chat's order, and [returning] that the chat has earlier turns. [spills] counts the owners
- * that sent the attempt on.
+ * target is the first in the chat's order, and [returning] that the chat has earlier turns. [ranChat] tells that an
+ * owner's hint names the target as the one that ran the chat last. [spills] counts the owners that sent the attempt
+ * on.
  */
 @Serializable
 data class PermitDemand(
@@ -24,4 +25,5 @@
     val home: Boolean = true,
     val returning: Boolean = false,
     val spills: Int = 0,
+    val ranChat: Boolean = false,
 )
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/QueuedRequest.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/QueuedRequest.kt
@@ -7,6 +7,7 @@
 
 /**
  * A request that waits at its target's owner for a turn of [account]; its first byte is due at [deadline].
+ * Until [staysUntil] it is not sent to another target.
  */
 data class QueuedRequest(
     val attempt: AttemptId,
@@ -15,4 +16,5 @@
     val demand: PermitDemand,
     val queuedAt: Timestamp,
     val deadline: Timestamp,
+    val staysUntil: Timestamp = queuedAt,
 )
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
@@ -12,6 +12,7 @@
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.Step
+import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -38,7 +39,8 @@
 
             earlierPlace != null && demand.spills == 0 -> {
                 val roomLeft = hasRoom(load, context, now)
-                Step(load, listOf(send(from, PermitSpilled(attempt, context.id, earlierPlace, roomLeft))))
+                val spill = PermitSpilled(attempt, context.id, earlierPlace, roomLeft, hintRanChat = true)
+                Step(load, listOf(send(from, spill)))
             }
 
             hasRoom(
@@ -144,14 +146,10 @@
         return Step(state, effects)
     }
 
-    /** Sends the next waiting request to a target with free slots, if this one has none. */
+    /** Sends the next waiting requests to the targets with free slots, one to each, if this one has none. */
     fun rebalanced(load: TargetLoad, context: TargetContext, now: Timestamp): Step<TargetLoad, AdmissionEffect> {
-        val (state, effects) = drained(load, context, now)
-        val next = state.queue.first()
-        val hint = context.mean?.roomy?.firstOrNull { it != context.id }
-        if (next == null || hint == null) return Step(state, effects)
-        val spill = send(next.holder, PermitSpilled(next.attempt, context.id, hint))
-        return Step(state.copy(queue = state.queue.minus(next.attempt)), effects + spill)
+        val roomy = context.mean?.roomy.orEmpty().filter { it != context.id }
+        return roomy.fold(drained(load, context, now)) { step, hint -> moved(step, context, hint, now) }
     }
 
     /** Refuses all waiting requests for [reason]. */
@@ -179,7 +177,8 @@
         val demand = request.demand
         val wait = expectedWait(blocked, context, demand, now)
         val saturated = LoadBound.saturated(load, context, now)
-        val patient = demand.home && demand.returning && wait <= settings.homePatience
+        val patience = patienceOf(demand)
+        val patient = wait <= patience
         val spilledOut = demand.spills >= minOf(settings.maximumSpills, context.groupSize.targets - 1)
         return when {
             !saturated && !spilledOut && !patient ->
@@ -189,21 +188,48 @@
                 Step(blocked, listOf(refused(request, context, PermitRefusal.LATE)))
 
             load.queue.size >= settings.queuePerSlot * context.target.capacity ->
-                Step(blocked, listOf(refused(request, context, PermitRefusal.QUEUE_FULL)))
+                enqueueInFull(blocked, context, request.copy(staysUntil = now + patience), now)
 
-            else -> enqueue(blocked, context, request, now)
+            else -> enqueue(blocked, context, request.copy(staysUntil = now + patience), now)
         }
     }
 
+    private fun patienceOf(demand: PermitDemand): Duration = if (demand.returning && (demand.home || demand.ranChat)) {
+        settings.recomputeTime * demand.promptTokens
+    } else {
+        Duration.ZERO
+    }
+
+    private fun moved(
+        step: Step<TargetLoad, AdmissionEffect>,
+        context: TargetContext,
+        hint: TargetId,
+        now: Timestamp,
+    ): Step<TargetLoad, AdmissionEffect> {
+        val next = step.state.queue.first()?.takeIf { it.staysUntil <= now && mayMove(it, context) } ?: return step
+        val spill = send(next.holder, PermitSpilled(next.attempt, context.id, hint))
+        return Step(step.state.copy(queue = step.state.queue.minus(next.attempt)), step.effects + spill)
+    }
+
     private fun spill(load: TargetLoad, context: TargetContext, request: QueuedRequest): PermitSpilled {
         val remembered = earlierPlace(load, context, request.demand)
         val roomy = context.mean?.roomy.orEmpty().filter { it != context.id }
-        val hint = if (request.demand.spills == 0 || roomy.isEmpty()) {
-            remembered
-        } else {
-            roomy[Math.floorMod(request.attempt.hashCode(), roomy.size)]
-        }
-        return PermitSpilled(request.attempt, context.id, hint)
+        val roomiest = roomy.getOrNull(Math.floorMod(request.attempt.hashCode(), maxOf(1, roomy.size)))
+        val hint = remembered ?: roomiest.takeIf { request.demand.spills > 0 }
+        return PermitSpilled(request.attempt, context.id, hint, hintRanChat = remembered != null)
+    }
+
+    private fun enqueueInFull(
+        load: TargetLoad,
+        context: TargetContext,
+        request: QueuedRequest,
+        now: Timestamp,
+    ): Step<TargetLoad, AdmissionEffect> {
+        val displaced = load.queue.givesWayTo(request.account, context::weightOf)
+            ?: return Step(load, listOf(refused(request, context, PermitRefusal.QUEUE_FULL)))
+        val shorter = load.copy(queue = load.queue.minus(displaced.attempt))
+        val (state, effects) = enqueue(shorter, context, request, now)
+        return Step(state, listOf(refused(displaced, context, PermitRefusal.QUEUE_FULL)) + effects)
     }
 
     private fun enqueue(
@@ -214,7 +240,7 @@
     ): Step<TargetLoad, AdmissionEffect> {
         val state = load.copy(
             queue = load.queue.plus(request),
-            dueTimes = load.dueTimes.plus(request.attempt, request.deadline),
+            dueTimes = load.dueTimes.plus(request.attempt, minOf(request.staysUntil, request.deadline)),
         )
         val (drained, effects) = drained(state, context, now)
         return Step(drained, listOf(queued(request.holder, request.attempt, state, context, now)) + effects)
@@ -258,12 +284,27 @@
                 listOf(refused(waiting, context, PermitRefusal.LATE)),
             )
 
-            waiting != null -> Step(load.copy(dueTimes = load.dueTimes.plus(attempt, waiting.deadline)))
+            waiting != null && mayMove(waiting, context) && isImpatient(waiting, load, context, now) -> Step(
+                load.copy(queue = load.queue.minus(attempt)),
+                listOf(send(waiting.holder, spill(load, context, waiting))),
+            )
+
+            waiting != null -> Step(load.copy(dueTimes = load.dueTimes.plus(attempt, nextLook(waiting, now))))
 
             else -> Step(load.copy(ended = load.ended.remove(attempt)))
         }
     }
 
+    private fun isImpatient(waiting: QueuedRequest, load: TargetLoad, context: TargetContext, now: Timestamp): Boolean =
+        waiting.staysUntil <= now && !LoadBound.saturated(load, context, now)
+
+    /** Whether a target is left that has not spilled [waiting] yet. */
+    private fun mayMove(waiting: QueuedRequest, context: TargetContext): Boolean =
+        waiting.demand.spills < minOf(2 * settings.maximumSpills, context.groupSize.targets - 1)
+
+    private fun nextLook(waiting: QueuedRequest, now: Timestamp): Timestamp =
+        if (waiting.staysUntil > now) minOf(waiting.staysUntil, waiting.deadline) else waiting.deadline
+
     private fun renew(load: TargetLoad, holder: RouterId, attempt: AttemptId, now: Timestamp): TargetLoad {
         val permit = load.permits.getValue(attempt).copy(holder = holder, lapsesAt = now + settings.permitLease)
         return load.copy(permits = load.permits.put(attempt, permit))
@@ -299,7 +340,7 @@
     }
 
     private fun isOverdue(load: TargetLoad, request: QueuedRequest, now: Timestamp): Boolean =
-        request.deadline <= now + load.meanFirstToken / 2
+        request.deadline <= now + load.meanFirstToken * FIRST_TOKEN_MARGIN
 
     private fun TargetLoad.withoutStalePresumption(now: Timestamp): TargetLoad =
         if (presumed && now - ownedSince > PRESUMED_FOR) copy(foreign = 0, presumed = false) else this
@@ -334,6 +375,7 @@
         /** Predicted waits count by this factor, so that only what is clearly late is refused early. */
         const val EARLY_FACTOR = 0.8
         val EVERYONE = AccountId("")
+        const val FIRST_TOKEN_MARGIN = 2
         const val SMOOTHING = 16
         const val PROMPT_TOKENS_PER_OUTPUT_TOKEN = 100.0
         val PRESUMED_FOR = 2.seconds
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
@@ -22,12 +22,14 @@
  * The real admission reducer in the loop: every router runs one, and an ingress that asks the owners in turn.
  */
 internal class AdmissionDispatcher(
-    private val scenario: Scenario,
-    private val clock: VirtualClock,
+    run: PolicyRun,
     private val reducer: AdmissionReducer,
     private val refused: (Turn) -> Unit,
     seed: Long,
 ) : Dispatcher {
+    private val scenario = run.scenario
+    private val clock = run.clock
+    private val measurements = run.measurements
     private val random = SplittableRandom(seed)
     private val fleet = FleetModel(scenario)
     private val states = Array(scenario.routers) { AdmissionState(view = fleet.view(it), fleet = null) }
@@ -142,6 +144,7 @@
             is AdmissionMessage.PermitSpilled ->
                 current(message.attempt, message.target)?.let {
                     it.spills++
+                    if (message.hintRanChat) it.ranChat = message.hint
                     if (message.roomLeft) it.tried -= message.target
                     next(it, message.hint)
                 }
@@ -169,6 +172,7 @@
             offer(search.turn)
         } else {
             if (search.spills > 0) reportPlace(search)
+            measurements.granted(engine, engines.values, clock.now)
             engine.submit(search.turn)
         }
     }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Measurements.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Measurements.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.experiment.policy
 
+import kotlin.math.ceil
 import org.HdrHistogram.Histogram
 
 /**
@@ -19,8 +20,11 @@
     private var quietRefused = 0
     private var surgingRefused = 0
     private var falselyRefused = 0
+    private var earlyRefused = 0
     private var overBoundSamples = 0
     private var samples = 0
+    private var grants = 0
+    private var grantsOver = 0
     private var highestOver = 0.0
 
     fun offered(turn: Turn) = whenMeasured(turn) { offered++ }
@@ -37,9 +41,17 @@
         if (now - turn.arrivedAt > scenario.timeAllowed) late++
     }
 
-    fun refused(turn: Turn, falsely: Boolean) = whenMeasured(turn) {
+    fun refused(turn: Turn, falsely: Boolean, early: Boolean) = whenMeasured(turn) {
         if (scenario.accounts[turn.account].quiet) quietRefused++ else surgingRefused++
         if (falsely) falselyRefused++
+        if (early) earlyRefused++
+    }
+
+    /** Compares a grant on [engine] with the bound by the true total of [engines] at that moment. */
+    fun granted(engine: EngineModel, engines: Collection<EngineModel>, now: Long) {
+        if (now < scenario.measuredFrom) return
+        grants++
+        if (engine.inFlight + 1 > boundOf(engines.sumOf { it.inFlight }, engines.size)) grantsOver++
     }
 
     /** Samples the load of the [engines] that are up while [waiting] turns wait. */
@@ -52,7 +64,7 @@
         recordSkew(requestSkew, requests)
         recordSkew(tokenSkew, engines.map { it.inFlightTokens.toDouble() })
         samples++
-        val bound = kotlin.math.ceil(scenario.loadMultiple * (requests.sum() + 1) / engines.size)
+        val bound = boundOf(requests.sum().toInt(), engines.size)
         if (requests.max() > bound) overBoundSamples++
         highestOver = maxOf(highestOver, requests.max() / bound)
     }
@@ -66,10 +78,12 @@
         ratio(tokenSkew.getValueAtPercentile(99.0) / 100.0),
         percent(overBoundSamples.toDouble() / samples.coerceAtLeast(1)),
         ratio(highestOver),
+        percent(grantsOver.toDouble() / grants.coerceAtLeast(1)),
         offered.toString().padStart(COLUMN),
         quietRefused.toString().padStart(COLUMN),
         surgingRefused.toString().padStart(COLUMN),
         falselyRefused.toString().padStart(COLUMN),
+        earlyRefused.toString().padStart(COLUMN),
         late.toString().padStart(COLUMN),
         milliseconds(firstTokenTime.getValueAtPercentile(95.0)),
         milliseconds(quietWait.getValueAtPercentile(99.0)),
@@ -78,6 +92,8 @@
         bytesPerRouterSecond.toLong().toString().padStart(COLUMN),
     ).joinToString("")
 
+    private fun boundOf(total: Int, engines: Int): Double = ceil(scenario.loadMultiple * (total + 1) / engines)
+
     private fun recordSkew(histogram: Histogram, loads: List<Double>) =
         histogram.recordValue((loads.max() / loads.average() * PERCENT).toLong())
 
@@ -99,8 +115,10 @@
 
         /** The heads of the columns of [row]. */
         val HEAD: String = "policy".padEnd(POLICY_WIDTH) + listOf(
-            "reuse", "req.skew", "p99", "tok.skew", "p99", "over", "max.over", "offered", "q.refus", "s.refus",
-            "falsely", "late", "ttft95ms", "q.w99ms", "s.w99ms", "busy", "B/s/rtr",
+            "reuse", "req.skew", "p99", "tok.skew", "p99", "over", "max.over", "g.over",
+            "offered", "q.refus", "s.refus",
+
+            "falsely", "early", "late", "ttft95ms", "q.w99ms", "s.w99ms", "busy", "B/s/rtr",
         ).joinToString("") { it.padStart(COLUMN) }
     }
 }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Policy.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Policy.kt
@@ -1,19 +1,15 @@
 package org.cicadaarch.experiment.policy
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.microseconds
 import org.cicadaarch.admission.AdmissionReducer
 import org.cicadaarch.admission.AdmissionSettings
 
 /**
  * A named policy of the comparison.
  */
-internal class Policy(
-    val name: String,
-    private val make: (Scenario, VirtualClock, Long, (Turn) -> Unit) -> Dispatcher,
-) {
-    fun dispatcher(scenario: Scenario, clock: VirtualClock, seed: Long, refused: (Turn) -> Unit): Dispatcher =
-        make(scenario, clock, seed, refused)
+internal class Policy(val name: String, private val make: (PolicyRun, Long, (Turn) -> Unit) -> Dispatcher) {
+    fun dispatcher(run: PolicyRun, seed: Long, refused: (Turn) -> Unit): Dispatcher = make(run, seed, refused)
 
     companion object {
         /** The baselines and the variants of the router's policy, in the order of the table. */
@@ -22,19 +18,20 @@
             admission("no-bound", AdmissionSettings(boundsLoad = false, newChatMultiple = 1_000.0)),
             admission("no-spill-memory", AdmissionSettings(followsSpills = false)),
             admission("no-room-for-returning", AdmissionSettings(newChatMultiple = 1_000.0)),
-            admission("no-patience", AdmissionSettings(homePatience = Duration.ZERO)),
-            admission("patience-1s", AdmissionSettings(homePatience = 1.seconds)),
+            admission("new-chats-0.8", AdmissionSettings(newChatMultiple = 0.8)),
+            admission("no-patience", AdmissionSettings(recomputeTime = Duration.ZERO)),
+            admission("patience-150us", AdmissionSettings(recomputeTime = 150.microseconds)),
+            admission("patience-600us", AdmissionSettings(recomputeTime = 600.microseconds)),
             admission("first-come", AdmissionSettings(sharesFairly = false)),
         )
 
         private fun direct(choice: DirectDispatcher.Choice) =
-            Policy(choice.name.lowercase().replace('_', '-')) { _, clock, seed, _ ->
-                DirectDispatcher(choice, clock, seed)
+            Policy(choice.name.lowercase().replace('_', '-')) { run, seed, _ ->
+                DirectDispatcher(choice, run.clock, seed)
             }
 
-        private fun admission(name: String, settings: AdmissionSettings) =
-            Policy(name) { scenario, clock, seed, refused ->
-                AdmissionDispatcher(scenario, clock, AdmissionReducer(settings), refused, seed)
-            }
+        private fun admission(name: String, settings: AdmissionSettings) = Policy(name) { run, seed, refused ->
+            AdmissionDispatcher(run, AdmissionReducer(settings), refused, seed)
+        }
     }
 }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/PolicyRun.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/PolicyRun.kt
@@ -3,16 +3,16 @@
 /**
  * One run of [scenario] under one policy: engines, churn, measurements.
  */
-internal class PolicyRun(private val scenario: Scenario, private val seed: Long) : EngineListener {
-    private val clock = VirtualClock()
-    private val measurements = Measurements(scenario)
+internal class PolicyRun(val scenario: Scenario, private val seed: Long) : EngineListener {
+    val clock = VirtualClock()
+    val measurements = Measurements(scenario)
     private val engines = MutableList(scenario.engines, ::engine)
     private val source = ChatSource(scenario, clock, seed, ::offer)
     private lateinit var dispatcher: Dispatcher
 
     /** Runs under the policy that [policy] makes and returns the table's row. */
     fun run(policy: Policy): String {
-        dispatcher = policy.dispatcher(scenario, clock, seed, ::refused)
+        dispatcher = policy.dispatcher(this, seed, ::refused)
         dispatcher.enginesChanged(engines.toList())
         clock.schedule(MICROSECONDS_PER_SECOND) { source.start() }
         scenario.churn.forEach { event -> clock.schedule(event.at) { churn(event) } }
@@ -49,10 +49,16 @@
         dispatcher.offer(turn)
     }
 
-    private fun refused(turn: Turn) = clock.schedule(turn.arrivedAt + scenario.timeAllowed) {
-        measurements.refused(turn, falsely = engines.any { it.hadFreeSlotSince(turn.arrivedAt) })
+    /** Judges a refusal twice: by slots free until now, and by slots that come free before the deadline. */
+    private fun refused(turn: Turn) {
+        val falsely = hadFreeSlot(turn)
+        clock.schedule(turn.arrivedAt + scenario.timeAllowed) {
+            measurements.refused(turn, falsely, early = !falsely && hadFreeSlot(turn))
+        }
     }
 
+    private fun hadFreeSlot(turn: Turn) = engines.any { it.hadFreeSlotSince(turn.arrivedAt) }
+
     private fun sample() {
         if (clock.now >= scenario.measuredFrom) {
             measurements.sample(engines.filter { it.up && it.open }, dispatcher.waiting)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
@@ -13,6 +13,7 @@
     var asked: TargetId = order.first()
     var unanswered = false
     var spills = 0
+    var ranChat: TargetId? = null
     var late = 0
     var grantedAt = 0L
 
@@ -26,5 +27,6 @@
         home = asked == order.first(),
         returning = turn.returning,
         spills = spills,
+        ranChat = asked == ranChat,
     )
 }
