Spread the configuration and give orders from the joined reducer

Cause: every router watched the store itself, orders to engines went nowhere, and owners knew no reported load. Change: the configuration's and the orders' reducers join the router's; RouterReducer only dispatches, RouterTransition joins the roles, EffectRunner carries out effects. Owners read their targets' load twice a second. Cache reuse and in-flight work of owned targets are metrics. A draining router lets idle connections finish within a grace, then closes them.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.configuration.spread.ConfigurationMessage
 import org.cicadaarch.ledger.LedgerMessage
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Fingerprint
@@ -32,6 +33,10 @@
     @Serializable
     data class ToClaimant(val message: LedgerMessage.ForIngress) : PeerMessage()
 
+    /** From the configuration of one router to that of another. */
+    @Serializable
+    data class ToConfiguration(val message: ConfigurationMessage) : PeerMessage()
+
     /** To every ingress: [attempt] of a request with [fingerprint] ended with its target's connection. */
     @Serializable
     data class CrashReported(val fingerprint: Fingerprint, val attempt: AttemptId) : PeerMessage()
--- /dev/null
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RoleReducers.kt
@@ -0,0 +1,22 @@
+package org.cicadaarch.core
+
+import org.cicadaarch.admission.AdmissionReducer
+import org.cicadaarch.configuration.spread.ConfigurationReducer
+import org.cicadaarch.ledger.ClaimantReducer
+import org.cicadaarch.ledger.LedgerReducer
+import org.cicadaarch.membership.MembershipReducer
+import org.cicadaarch.orders.OrdersReducer
+import org.cicadaarch.request.IngressReducer
+
+/**
+ * The reducers of a router's roles, each with its settings.
+ */
+data class RoleReducers(
+    val ingress: IngressReducer = IngressReducer(),
+    val admission: AdmissionReducer = AdmissionReducer(),
+    val membership: MembershipReducer = MembershipReducer(),
+    val ledger: LedgerReducer = LedgerReducer(),
+    val claimant: ClaimantReducer = ClaimantReducer(),
+    val configuration: ConfigurationReducer = ConfigurationReducer(),
+    val orders: OrdersReducer = OrdersReducer(),
+)
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEffect.kt
@@ -1,11 +1,11 @@
 package org.cicadaarch.core
 
-import org.cicadaarch.ledger.LedgerNotice
-import org.cicadaarch.membership.MembershipEffect
 import org.cicadaarch.membership.MembershipMessage
+import org.cicadaarch.model.Revision
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.orders.OrdersEffect
 import org.cicadaarch.request.IngressEffect
 
 /**
@@ -24,12 +24,15 @@
     /** Reads the platform's list of VMs; the answer comes back as a membership event. */
     data object FetchVirtualMachines : RouterEffect()
 
-    /** Something about other routers that an operator may want to know. */
-    data class MembershipNotice(val notice: MembershipEffect) : RouterEffect()
-
     /** Sends [command] to the store; the answer comes back with [token]. */
     data class Store(val token: StoreToken, val command: StoreCommand) : RouterEffect()
 
-    /** Something about the ledger that an operator may want to know. */
-    data class NoticeOfLedger(val notice: LedgerNotice) : RouterEffect()
+    /** Parses [text], away from the reducer's thread; the result comes back as a configuration event. */
+    data class ParseDocument(val revision: Revision, val text: String) : RouterEffect()
+
+    /** Reads an engine's state or sends it an order; the answer comes back as an event of the orders. */
+    data class Orders(val effect: OrdersEffect) : RouterEffect()
+
+    /** Writes [notice] to the log. */
+    data class Notify(val notice: RouterNotice) : RouterEffect()
 }
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterEvent.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.core
 
+import org.cicadaarch.configuration.spread.ConfigurationEvent
 import org.cicadaarch.membership.MembershipEvent
 import org.cicadaarch.model.Revision
 import org.cicadaarch.model.RouterId
@@ -7,6 +8,7 @@
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
 import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.orders.OrdersEvent
 import org.cicadaarch.request.IngressEvent
 
 /**
@@ -22,6 +24,12 @@
     /** Something happened to the list of live routers. */
     data class Membership(val event: MembershipEvent) : RouterEvent()
 
+    /** Something happened to the configuration. */
+    data class Configuration(val event: ConfigurationEvent) : RouterEvent()
+
+    /** Something happened to the orders to engines. */
+    data class Orders(val event: OrdersEvent) : RouterEvent()
+
     /** The list of live routers changed. */
     data class RoutersChanged(val view: RouterView) : RouterEvent()
 
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
@@ -1,13 +1,13 @@
 package org.cicadaarch.core
 
 import org.cicadaarch.admission.AdmissionState
+import org.cicadaarch.configuration.spread.ConfigurationState
 import org.cicadaarch.ledger.ClaimantState
 import org.cicadaarch.ledger.LedgerState
 import org.cicadaarch.membership.MembershipState
 import org.cicadaarch.model.Revision
-import org.cicadaarch.model.RouterInfo
 import org.cicadaarch.model.RouterView
-import org.cicadaarch.model.Timestamp
+import org.cicadaarch.orders.OrdersState
 import org.cicadaarch.request.IngressState
 
 /**
@@ -16,21 +16,11 @@
 data class RouterState(
     val view: RouterView,
     val membership: MembershipState,
+    val configuration: ConfigurationState,
     val ledger: LedgerState,
-    val claimant: ClaimantState = ClaimantState(view = view),
+    val claimant: ClaimantState,
+    val ingress: IngressState,
+    val admission: AdmissionState,
+    val orders: OrdersState,
     val revision: Revision = Revision.NONE,
-    val ingress: IngressState = IngressState(view = view),
-    val admission: AdmissionState = AdmissionState(view = view, fleet = null),
-) {
-    companion object {
-        /** The state of a process that starts as [self] at [now] and [epochSeconds] and knows nobody. */
-        fun initial(self: RouterInfo, now: Timestamp, epochSeconds: Long): RouterState {
-            val view = RouterView(self.id, mapOf(self.id to self))
-            return RouterState(
-                view = view,
-                membership = MembershipState.initial(self, now),
-                ledger = LedgerState(view = view, epochSeconds = epochSeconds, tickedAt = now),
-            )
-        }
-    }
-}
+)
--- /dev/null
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
@@ -0,0 +1,248 @@
+package org.cicadaarch.core
+
+import org.cicadaarch.admission.AdmissionEffect
+import org.cicadaarch.admission.AdmissionEvent
+import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.configuration.spread.ConfigurationEffect
+import org.cicadaarch.configuration.spread.ConfigurationEvent
+import org.cicadaarch.ledger.ClaimStanding
+import org.cicadaarch.ledger.ClaimantEffect
+import org.cicadaarch.ledger.ClaimantEvent
+import org.cicadaarch.ledger.LedgerEffect
+import org.cicadaarch.ledger.LedgerEvent
+import org.cicadaarch.membership.MembershipEffect
+import org.cicadaarch.membership.MembershipEvent
+import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.Outcome
+import org.cicadaarch.model.RequestHead
+import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.Revision
+import org.cicadaarch.model.RouterId
+import org.cicadaarch.model.RouterView
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.orders.OrdersEffect
+import org.cicadaarch.orders.OrdersEvent
+import org.cicadaarch.request.ClaimVerdict
+import org.cicadaarch.request.IngressEffect
+import org.cicadaarch.request.IngressEvent
+
+/**
+ * Collects the next state and the effects while one event at [now] passes through the roles that it concerns.
+ */
+internal class RouterTransition(
+    private val roles: RoleReducers,
+    private var state: RouterState,
+    private val now: Timestamp,
+) {
+    private val effects = mutableListOf<RouterEffect>()
+
+    fun step(): Step<RouterState, RouterEffect> = Step(state, effects)
+
+    fun receive(from: RouterId, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.ToAdmissionOwner -> reduceAdmission(AdmissionEvent.Received(from, message.message))
+
+            is PeerMessage.ToIngress -> reduceIngress(IngressEvent.PermitAnswered(message.message))
+
+            is PeerMessage.ToShardOwner -> reduceLedger(LedgerEvent.Received(from, message.message))
+
+            is PeerMessage.ToClaimant -> reduceClaimant(ClaimantEvent.Received(from, message.message))
+
+            is PeerMessage.ToConfiguration -> reduceConfiguration(ConfigurationEvent.Received(from, message.message))
+
+            is PeerMessage.CrashReported -> reduceIngress(
+                IngressEvent.CrashReported(message.fingerprint, message.attempt),
+            )
+
+            is PeerMessage.Hello, is PeerMessage.Heartbeat -> Unit
+        }
+    }
+
+    fun routersChanged(view: RouterView) {
+        state = state.copy(view = view)
+        reduceAdmission(AdmissionEvent.RoutersChanged(view))
+        reduceIngress(IngressEvent.RoutersChanged(view))
+        reduceLedger(LedgerEvent.RoutersChanged(view))
+        reduceClaimant(ClaimantEvent.RoutersChanged(view))
+        reduceConfiguration(ConfigurationEvent.RoutersChanged(view))
+        reduceOrders(OrdersEvent.RoutersChanged(view))
+    }
+
+    fun fleetChanged(revision: Revision, fleet: FleetDocument) {
+        if (revision <= state.revision) return
+        state = state.copy(revision = revision)
+        reduceMembership(MembershipEvent.RevisionInstalled(revision))
+        reduceAdmission(AdmissionEvent.FleetChanged(fleet))
+        reduceIngress(IngressEvent.FleetChanged(fleet))
+        reduceOrders(OrdersEvent.FleetChanged(fleet))
+    }
+
+    fun storeAnswered(token: StoreToken, result: StoreResult) {
+        when (token) {
+            is StoreToken.Ledger -> reduceLedger(LedgerEvent.StoreAnswered(token.token, result))
+            is StoreToken.Configuration -> reduceConfiguration(ConfigurationEvent.StoreAnswered(token.call, result))
+            is StoreToken.Orders -> reduceOrders(OrdersEvent.StoreAnswered(token.token, result))
+        }
+    }
+
+    fun reduceIngress(event: IngressEvent) {
+        val step = roles.ingress.reduce(state.ingress, event, now)
+        state = state.copy(ingress = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceAdmission(event: AdmissionEvent) {
+        val step = roles.admission.reduce(state.admission, event, now)
+        state = state.copy(admission = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceMembership(event: MembershipEvent) {
+        val step = roles.membership.reduce(state.membership, event, now)
+        state = state.copy(membership = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceLedger(event: LedgerEvent) {
+        val step = roles.ledger.reduce(state.ledger, event, now)
+        state = state.copy(ledger = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceClaimant(event: ClaimantEvent) {
+        val step = roles.claimant.reduce(state.claimant, event, now)
+        state = state.copy(claimant = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceConfiguration(event: ConfigurationEvent) {
+        val step = roles.configuration.reduce(state.configuration, event, now)
+        state = state.copy(configuration = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    fun reduceOrders(event: OrdersEvent) {
+        val step = roles.orders.reduce(state.orders, event, now)
+        state = state.copy(orders = step.state)
+        step.effects.forEach(::carryOut)
+    }
+
+    private fun carryOut(effect: IngressEffect) {
+        when (effect) {
+            is IngressEffect.SendToOwner -> send(effect.to, PeerMessage.ToAdmissionOwner(effect.message))
+
+            is IngressEffect.Claim -> claim(effect.head)
+
+            is IngressEffect.FinishClaim -> reduceClaimant(ClaimantEvent.Ended(effect.head.id, effect.outcome))
+
+            is IngressEffect.ReportCrash -> tellAll(PeerMessage.CrashReported(effect.fingerprint, effect.attempt))
+
+            is IngressEffect.StartAttempt,
+            is IngressEffect.CancelAttempt,
+            is IngressEffect.ProbeTarget,
+            is IngressEffect.EndRequest,
+            -> effects += RouterEffect.Ingress(effect)
+        }
+    }
+
+    private fun carryOut(effect: AdmissionEffect) {
+        when (effect) {
+            is AdmissionEffect.Send -> when (val message = effect.message) {
+                is AdmissionMessage.PermitGranted,
+                is AdmissionMessage.PermitQueued,
+                is AdmissionMessage.PermitSpilled,
+                is AdmissionMessage.PermitRefused,
+                -> send(effect.to, PeerMessage.ToIngress(message))
+
+                else -> send(effect.to, PeerMessage.ToAdmissionOwner(message))
+            }
+        }
+    }
+
+    private fun carryOut(effect: MembershipEffect) {
+        when (effect) {
+            is MembershipEffect.Send -> effects += RouterEffect.SendDatagram(effect.to, effect.message)
+
+            is MembershipEffect.FetchList -> effects += RouterEffect.FetchVirtualMachines
+
+            is MembershipEffect.ViewChanged -> routersChanged(effect.view)
+
+            is MembershipEffect.DigestHeard -> reduceConfiguration(
+                ConfigurationEvent.DigestHeard(effect.router, effect.revision),
+            )
+
+            is MembershipEffect.MemberJoined,
+            is MembershipEffect.MemberSuspected,
+            is MembershipEffect.SuspicionRefuted,
+            is MembershipEffect.MemberRemoved,
+            is MembershipEffect.PauseNoticed,
+            -> effects += RouterEffect.Notify(RouterNotice.OfMembership(effect))
+        }
+    }
+
+    private fun carryOut(effect: LedgerEffect) {
+        when (effect) {
+            is LedgerEffect.Send -> send(effect.to, PeerMessage.ToClaimant(effect.message))
+            is LedgerEffect.Store -> effects += RouterEffect.Store(StoreToken.Ledger(effect.token), effect.command)
+            is LedgerEffect.Log -> effects += RouterEffect.Notify(RouterNotice.OfLedger(effect.notice))
+        }
+    }
+
+    private fun carryOut(effect: ClaimantEffect) {
+        when (effect) {
+            is ClaimantEffect.Send -> send(effect.to, PeerMessage.ToShardOwner(effect.message))
+            is ClaimantEffect.Granted -> answerClaim(effect.request, ClaimVerdict.Granted)
+            is ClaimantEffect.Refused -> answerClaim(effect.request, ClaimVerdict.Unavailable)
+            is ClaimantEffect.Denied -> answerClaim(effect.request, ClaimVerdict.Taken(outcomeOf(effect.standing)))
+        }
+    }
+
+    private fun carryOut(effect: ConfigurationEffect) {
+        when (effect) {
+            is ConfigurationEffect.Send -> send(effect.to, PeerMessage.ToConfiguration(effect.message))
+
+            is ConfigurationEffect.CallStore ->
+                effects += RouterEffect.Store(StoreToken.Configuration(effect.token), effect.command)
+
+            is ConfigurationEffect.Parse -> effects += RouterEffect.ParseDocument(effect.revision, effect.text)
+
+            is ConfigurationEffect.Install -> fleetChanged(effect.revision, effect.document)
+
+            is ConfigurationEffect.Rejected, is ConfigurationEffect.Missing ->
+                effects += RouterEffect.Notify(RouterNotice.OfConfiguration(effect))
+        }
+    }
+
+    private fun carryOut(effect: OrdersEffect) {
+        when (effect) {
+            is OrdersEffect.Store -> effects += RouterEffect.Store(StoreToken.Orders(effect.token), effect.command)
+            is OrdersEffect.Log -> effects += RouterEffect.Notify(RouterNotice.OfOrders(effect.notice))
+            is OrdersEffect.ReadEngineState, is OrdersEffect.SendOrder -> effects += RouterEffect.Orders(effect)
+        }
+    }
+
+    private fun send(to: RouterId, message: PeerMessage) {
+        if (to == state.view.self) receive(to, message) else effects += RouterEffect.SendToPeer(to, message)
+    }
+
+    private fun tellAll(message: PeerMessage) {
+        (state.view.routers.keys - state.view.self).forEach { effects += RouterEffect.SendToPeer(it, message) }
+    }
+
+    private fun claim(head: RequestHead) {
+        val keyed = head.idempotency as? Idempotency.Keyed ?: return
+        reduceClaimant(ClaimantEvent.Requested(head.id, head.account, keyed.key, head.timeAllowed))
+    }
+
+    private fun answerClaim(request: RequestId, verdict: ClaimVerdict) =
+        reduceIngress(IngressEvent.ClaimAnswered(request, verdict))
+
+    private fun outcomeOf(standing: ClaimStanding): Outcome? = when (standing) {
+        ClaimStanding.RUNNING -> null
+        ClaimStanding.COMPLETED -> Outcome.COMPLETED
+        ClaimStanding.MAY_HAVE_RUN -> Outcome.MAY_HAVE_RUN
+    }
+}
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/Demonstration.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/Demonstration.kt
@@ -4,6 +4,7 @@
 import org.cicadaarch.model.Outcome
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.fleet.ServiceKind
 
 /**
  * One demonstration on running routers: load, an engine that joins, one that leaves, and the table at the end.
@@ -19,8 +20,8 @@
     seed: Long,
 ) {
     private val control = ControlClient()
-    private val joiner = fleet.targets.keys.last { it.value.contains(ENGINE) }
-    private val leaver = fleet.targets.keys.first { it.value.contains(ENGINE) }
+    private val joiner = engines().last()
+    private val leaver = engines().first()
 
     @Volatile
     private var document = DemonstrationFleet.without(fleet, joiner)
@@ -54,6 +55,9 @@
         return if (broken == 0) 0 else 1
     }
 
+    private fun engines(): List<TargetId> =
+        fleet.targets.filterValues { fleet.services.getValue(it.service).kind == ServiceKind.MODEL }.keys.toList()
+
     private fun prepare() {
         val entries = peerAddresses.joinToString(separator = ",", prefix = "[", postfix = "]") {
             """{"address":"$it","zone":"${fleet.regions.values.first().first()}","state":"live"}"""
@@ -129,7 +133,6 @@
     private fun secondsSince(begun: Long): Double = (System.nanoTime() - begun) / NANOSECONDS_PER_SECOND
 
     private companion object {
-        const val ENGINE = "engine"
         const val PAUSE_MILLISECONDS = 6_000L
         const val READY_SECONDS = 30L
         const val POLL_MILLISECONDS = 200L
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -9,27 +9,21 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration.Companion.seconds
-import org.cicadaarch.configuration.FleetDocumentParser
-import org.cicadaarch.core.RouterEffect
+import org.cicadaarch.admission.TargetOwnership
+import org.cicadaarch.configuration.spread.ConfigurationEvent
+import org.cicadaarch.configuration.spread.ConfigurationReducer
+import org.cicadaarch.configuration.spread.ConfigurationSettings
+import org.cicadaarch.core.RoleReducers
 import org.cicadaarch.core.RouterEvent
 import org.cicadaarch.core.RouterReducer
-import org.cicadaarch.core.RouterState
-import org.cicadaarch.membership.ListedVm
-import org.cicadaarch.membership.MembershipEffect
 import org.cicadaarch.membership.MembershipEvent
 import org.cicadaarch.membership.MembershipReducer
 import org.cicadaarch.membership.MembershipSettings
-import org.cicadaarch.model.Revision
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterInfo
-import org.cicadaarch.model.store.StoreCommand
-import org.cicadaarch.model.store.StoreResult
-import org.cicadaarch.model.store.StoredValue
 import org.cicadaarch.platform.EtcdStore
 import org.cicadaarch.platform.HttpVirtualMachineList
-import org.cicadaarch.request.IngressEffect
-import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.router.caller.CallerAuthentication
 import org.cicadaarch.router.caller.CallerServer
 import org.cicadaarch.router.caller.ExchangeRegistry
@@ -40,9 +34,12 @@
 import org.cicadaarch.router.operators.OperatorsServer
 import org.cicadaarch.router.peer.PeerDatagrams
 import org.cicadaarch.router.peer.PeerLinks
+import org.cicadaarch.router.runtime.EffectRunner
 import org.cicadaarch.router.runtime.MonotonicClock
 import org.cicadaarch.router.runtime.ReducerLoop
 import org.cicadaarch.router.settings.RouterSettings
+import org.cicadaarch.router.target.EngineControl
+import org.cicadaarch.router.target.TargetAddress
 import org.cicadaarch.router.target.TargetClient
 import org.cicadaarch.router.target.TargetProbe
 
@@ -50,35 +47,46 @@
  * A router: the reducer and everything that carries out its effects.
  */
 class RouterProcess(private val settings: RouterSettings) {
-    private val self = RouterId("${settings.peerAddress}/${java.lang.Long.toHexString(SecureRandom().nextLong())}")
-    private val selfInfo = RouterInfo(self, settings.peerAddress, settings.zone, settings.region)
+    private val startNumber = SecureRandom().nextLong()
+    private val self = RouterId("${settings.peerAddress}/${java.lang.Long.toHexString(startNumber)}")
     private val eventLoops = MultiThreadIoEventLoopGroup(NioIoHandler.newFactory())
+    private val background = Executors.newSingleThreadScheduledExecutor {
+        Thread(it, "background").apply { isDaemon = true }
+    }
     private val metrics = RouterMetrics()
     private val tracing = RouterTracing(settings.traceEndpoint, self.value)
     private val authentication = CallerAuthentication()
     private val store = EtcdStore(eventLoops, socketAddress(settings.storeAddress), STORE_TIMEOUT)
     private val vmList = HttpVirtualMachineList(eventLoops, socketAddress(settings.vmListAddress))
-    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "timer").apply { isDaemon = true } }
+    private val targets = TargetClient()
+    private val engines = EngineControl(targets, eventLoops)
     private val stopping = AtomicBoolean()
     private val stopped = CountDownLatch(1)
 
-    private val loop: ReducerLoop = ReducerLoop(
-        reducer = RouterReducer(
-            membershipReducer = MembershipReducer(MembershipSettings(seed = self.hashCode().toLong())),
+    private val reducer = RouterReducer(
+        RoleReducers(
+            membership = MembershipReducer(MembershipSettings(seed = startNumber)),
+            configuration = ConfigurationReducer(ConfigurationSettings(seed = startNumber)),
+        ),
+    )
+    private val loop = ReducerLoop(
+        reducer = reducer,
+        initialState = reducer.initial(
+            self = RouterInfo(self, settings.peerAddress, settings.zone, settings.region),
+            now = MonotonicClock.now(),
+            epochSeconds = MonotonicClock.epochSeconds(),
         ),
-        initialState = RouterState.initial(selfInfo, MonotonicClock.now(), MonotonicClock.epochSeconds()),
-        carryOut = ::carryOut,
+        carryOut = { effects.run(it) },
     )
-    private val registry = ExchangeRegistry(
+    private val exchanges = ExchangeRegistry(
         authentication = authentication,
-        targets = TargetClient(),
+        targets = targets,
         metrics = metrics,
         tracing = tracing,
         fleet = { loop.state.ingress.fleet },
         submit = { loop.submit(RouterEvent.Ingress(it)) },
     )
-    private val probe = TargetProbe(eventLoops)
-    private val callers = CallerServer(settings, eventLoops, registry::admit)
+    private val callers = CallerServer(settings, eventLoops, exchanges::admit)
     private val peers = PeerLinks(
         self = self,
         listenAddress = settings.peerAddress,
@@ -92,26 +100,41 @@
         observe = { sent, bytes -> metrics.controlBytes("membership", sent, bytes) },
         receive = { from, message -> loop.submit(RouterEvent.Membership(MembershipEvent.Received(from, message))) },
     )
+    private val effects: EffectRunner = EffectRunner(
+        exchanges = exchanges,
+        peers = peers,
+        datagrams = datagrams,
+        store = store,
+        virtualMachines = vmList,
+        engines = engines,
+        probe = TargetProbe(eventLoops),
+        background = background,
+        fleet = { loop.state.ingress.fleet },
+        submit = loop::submit,
+    )
     private val operatorsApi = OperatorsApi(
         state = { loop.state },
         metrics = metrics,
-        openRequests = { registry.openRequests },
+        openRequests = { exchanges.openRequests },
+        statusWanted = { loop.submit(RouterEvent.Configuration(ConfigurationEvent.StatusWanted)) },
         drain = { Thread(::stop, "drain").start() },
     )
     private val operators = OperatorsServer(settings.operatorsAddress, eventLoops, operatorsApi::answer)
 
     /** Starts everything; fails with an exception when an address is taken. */
     fun start() {
-        metrics.gauge("cicadaarch_open_requests", "Requests that have not ended.") { registry.openRequests.toDouble() }
-        metrics.gauge("cicadaarch_configuration_revision", "The revision in force.") {
-            loop.state.revision.value.toDouble()
-        }
+        registerGauges()
         loop.start()
         peers.start()
         datagrams.start()
         operators.start()
         callers.start()
-        readDocument()
+        background.scheduleWithFixedDelay(
+            ::readLoads,
+            LOAD_INTERVAL_MILLISECONDS,
+            LOAD_INTERVAL_MILLISECONDS,
+            TimeUnit.MILLISECONDS,
+        )
         LogEvents.info("router-started") {
             "router" to self
             "callers" to settings.callerAddress
@@ -123,12 +146,12 @@
     /** Shuts down gracefully: takes no new connections and waits for the open requests, up to the drain timeout. */
     fun stop() {
         if (!stopping.compareAndSet(false, true)) return
-        LogEvents.info("router-draining") { "openRequests" to registry.openRequests }
+        LogEvents.info("router-draining") { "openRequests" to exchanges.openRequests }
         loop.submit(RouterEvent.Membership(MembershipEvent.LeaveRequested))
         callers.drain()
         val deadline = System.nanoTime() + settings.drainTimeout.inWholeNanoseconds
-        while (registry.openRequests > 0 && System.nanoTime() < deadline) Thread.sleep(DRAIN_POLL_MILLISECONDS)
-        LogEvents.info("router-stopped") { "openRequests" to registry.openRequests }
+        while (!isDrained() && System.nanoTime() < deadline) Thread.sleep(DRAIN_POLL_MILLISECONDS)
+        LogEvents.info("router-stopped") { "openRequests" to exchanges.openRequests }
         loop.submit(RouterEvent.Membership(MembershipEvent.LeaveCompleted))
         Thread.sleep(FAREWELL_MILLISECONDS)
         loop.close()
@@ -142,110 +165,49 @@
     /** Waits until [stop] is done. */
     fun awaitStopped() = stopped.await()
 
-    private fun carryOut(effect: RouterEffect) {
-        when (effect) {
-            is RouterEffect.SendToPeer -> peers.send(effect.to, effect.message)
-
-            is RouterEffect.SendDatagram -> datagrams.send(effect.to, effect.message)
-
-            RouterEffect.FetchVirtualMachines -> fetchVirtualMachines()
-
-            is RouterEffect.MembershipNotice -> log(effect.notice)
-
-            is RouterEffect.NoticeOfLedger -> LogEvents.info("ledger") { "notice" to effect.notice }
-
-            is RouterEffect.Store -> store.execute(effect.command) { result ->
-                loop.submit(RouterEvent.StoreAnswered(effect.token, result))
+    private fun isDrained(): Boolean = exchanges.openRequests == 0 && callers.openConnections == 0
+
+    /** An owner corrects its count by what its targets report, so it reads only those that it owns. */
+    private fun readLoads() {
+        val state = loop.state
+        state.ingress.fleet?.targets.orEmpty()
+            .filterKeys { TargetOwnership.ownerOf(it, state.view) == self }
+            .forEach { (id, target) ->
+                engines.readLoad(TargetAddress.of(target)) { load ->
+                    if (load != null) loop.submit(RouterEvent.LoadReported(id, load.running, load.waiting))
+                }
             }
-
-            is RouterEffect.Ingress -> carryOut(effect.effect)
-        }
     }
 
-    private fun carryOut(effect: IngressEffect) {
-        when (effect) {
-            is IngressEffect.StartAttempt -> startAttempt(effect)
-
-            is IngressEffect.CancelAttempt -> registry.withExchange(effect.attempt.request) {
-                it.cancelAttempt(effect.attempt)
-            }
-
-            is IngressEffect.EndRequest -> registry.withExchange(effect.request) {
-                it.end(effect.outcome, effect.reason)
-            }
-
-            is IngressEffect.ProbeTarget -> probe(effect)
-
-            is IngressEffect.Claim,
-            is IngressEffect.FinishClaim,
-            is IngressEffect.SendToOwner,
-            is IngressEffect.ReportCrash,
-            -> Unit
+    private fun registerGauges() {
+        metrics.gauge("cicadaarch_open_requests", "Requests that have not ended.") {
+            exchanges.openRequests.toDouble()
         }
-    }
-
-    private fun startAttempt(effect: IngressEffect.StartAttempt) {
-        val target = loop.state.ingress.fleet?.targets?.get(effect.target) ?: return
-        registry.startAttempt(effect.attempt, TargetAddress.of(target), effect.resumeAfter)
-    }
-
-    private fun probe(effect: IngressEffect.ProbeTarget) {
-        val target = loop.state.ingress.fleet?.targets?.get(effect.target) ?: return
-        probe.probe(TargetAddress.of(target)) { alive ->
-            loop.submit(RouterEvent.Ingress(IngressEvent.ProbeAnswered(effect.attempt, alive)))
+        metrics.gauge("cicadaarch_caller_connections", "Open connections of callers.") {
+            callers.openConnections.toDouble()
         }
-    }
-
-    private fun fetchVirtualMachines() {
-        vmList.fetch { result ->
-            result.onRight { machines ->
-                val entries = machines.map { ListedVm(it.address, it.zone, it.leaving) }
-                loop.submit(RouterEvent.Membership(MembershipEvent.ListFetched(entries)))
-            }
+        metrics.gauge("cicadaarch_configuration_revision", "The revision in force.") {
+            loop.state.revision.value.toDouble()
         }
-    }
-
-    private fun log(notice: MembershipEffect) {
-        LogEvents.info("membership") { "notice" to notice }
-    }
-
-    private fun socketAddress(address: RouterAddress): InetSocketAddress = InetSocketAddress(address.host, address.port)
-
-    private fun readDocument() {
-        store.execute(StoreCommand.Read(DOCUMENT_KEY)) { result ->
-            if (result is StoreResult.Values) {
-                result.values.forEach(::install)
-                awaitDocument(result.revision)
-            } else {
-                timer.schedule(::readDocument, 1, TimeUnit.SECONDS)
-            }
+        metrics.targetGauge("cicadaarch_target_in_flight", "Permits of the targets that this router owns.") {
+            val state = loop.state
+            state.ingress.fleet?.targets.orEmpty()
+                .filterKeys { TargetOwnership.ownerOf(it, state.view) == self }
+                .map { (id, target) ->
+                    Triple(target.service.value, id.value, state.admission.inFlight(id).toDouble())
+                }
         }
-    }
-
-    private fun awaitDocument(afterRevision: Long) {
-        store.execute(StoreCommand.AwaitChange(DOCUMENT_KEY, afterRevision, WATCH_TIMEOUT)) { result ->
-            if (result is StoreResult.Values) {
-                result.values.forEach(::install)
-                awaitDocument(maxOf(afterRevision, result.values.maxOfOrNull { it.revision } ?: 0))
-            } else {
-                timer.schedule(::readDocument, 1, TimeUnit.SECONDS)
-            }
+        metrics.gauge("cicadaarch_live_routers", "Routers fit for roles in this router's view.") {
+            loop.state.view.routers.size.toDouble()
         }
     }
 
-    private fun install(stored: StoredValue) {
-        val text = stored.value ?: return
-        FleetDocumentParser.parse(text).fold(
-            ifLeft = { errors -> LogEvents.warn("document-refused") { "errors" to errors.size } },
-            ifRight = { loop.submit(RouterEvent.FleetChanged(Revision(stored.revision), it)) },
-        )
-    }
+    private fun socketAddress(address: RouterAddress): InetSocketAddress = InetSocketAddress(address.host, address.port)
 
     private companion object {
-        const val DOCUMENT_KEY = "cicadaarch/fleet"
-        const val FAREWELL_MILLISECONDS = 50L
+        const val LOAD_INTERVAL_MILLISECONDS = 500L
         const val DRAIN_POLL_MILLISECONDS = 50L
+        const val FAREWELL_MILLISECONDS = 50L
         val STORE_TIMEOUT = 2.seconds
-        val WATCH_TIMEOUT = 60.seconds
     }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerConnection.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerConnection.kt
@@ -57,7 +57,8 @@
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is IdleStateEvent && !busy) context.close()
+        val ends = event is IdleStateEvent || event is DrainIdle
+        if (ends && !busy && head == null) context.close()
     }
 
     @Deprecated("Netty's signature")
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -13,6 +14,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.timeout.IdleStateHandler
+import io.netty.util.concurrent.GlobalEventExecutor
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import org.cicadaarch.router.settings.RouterSettings
 
@@ -25,6 +28,7 @@
     private val admit: (HttpRequest, CompositeByteBuf, CallerAnswer, (Exchange) -> Unit) -> Unit,
 ) : AutoCloseable {
     private val connections = AtomicInteger()
+    private val channels = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var listener: Channel? = null
 
     @Volatile
@@ -51,10 +55,16 @@
             .channel()
     }
 
-    /** Stops accepting connections; open ones end after the request that they carry. */
+    /**
+     * Stops accepting connections. Open ones end after the request that they carry, idle ones after a grace in which a
+     * request that is already under way still gets its answer.
+     */
     fun drain() {
         draining = true
         listener?.close()
+        eventLoops.schedule({
+            channels.forEach { it.pipeline().fireUserEventTriggered(DrainIdle) }
+        }, IDLE_GRACE_SECONDS, TimeUnit.SECONDS)
     }
 
     override fun close() = drain()
@@ -69,6 +79,7 @@
         } else {
             channel.pipeline().addLast(CallerConnection(settings.maximumBodyBytes, admit) { draining })
         }
+        channels.add(channel)
         channel.closeFuture().addListener { connections.decrementAndGet() }
     }
 
@@ -92,5 +103,6 @@
     private companion object {
         const val BACKLOG = 4_096
         const val IDLE_SECONDS = 60
+        const val IDLE_GRACE_SECONDS = 1L
     }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
@@ -197,6 +197,7 @@
                 if (held.isReadable) caller.write(held.readRetainedSlice(held.readableBytes()))
                 caller.finish(closingEvent(Outcome.COMPLETED, reason = null, attempt = attempt))
             } else {
+                if (kind == ServiceKind.MODEL) PromptUsage.find(held)?.let { observer.onUsage(request.head, it) }
                 caller.whole(head.status(), answerHeaders(head, Outcome.COMPLETED), held.retainedDuplicate())
             }
         }
@@ -228,6 +229,7 @@
                 event.release()
                 return
             }
+            if (!isToken) PromptUsage.find(event)?.let { observer.onUsage(request.head, it) }
             begin()
             if (isToken) {
                 tokensSeen = true
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeObserver.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeObserver.kt
@@ -19,6 +19,9 @@
     /** An answer came for an attempt that is not current any more, and was dropped. */
     fun onStaleAnswer(attempt: AttemptId)
 
+    /** The engine told how much of the prompt its cache held. */
+    fun onUsage(head: RequestHead, usage: PromptUsage)
+
     /** The request ended. */
     fun onEnded(head: RequestHead, outcome: Outcome, reason: RefusalReason?)
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
@@ -123,6 +123,9 @@
 
         override fun onStaleAnswer(attempt: AttemptId) = metrics.staleAnswer(attempt)
 
+        override fun onUsage(head: RequestHead, usage: PromptUsage) =
+            metrics.promptTokens(head, usage.cachedTokens, usage.promptTokens - usage.cachedTokens)
+
         override fun onEnded(head: RequestHead, outcome: Outcome, reason: RefusalReason?) {
             exchanges.remove(head.id)
             metrics.requestEnded(head, outcome, reason)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
@@ -63,6 +63,16 @@
             .register(registry)
     }
 
+    /** Registers a gauge with one value for each target, read at each scrape as (service, target, value). */
+    fun targetGauge(name: String, help: String, read: () -> List<Triple<String, String, Double>>) {
+        GaugeWithCallback.builder()
+            .name(name)
+            .help(help)
+            .labelNames("service", "target")
+            .callback { gauge -> read().forEach { (service, target, value) -> gauge.call(value, service, target) } }
+            .register(registry)
+    }
+
     /** A request ended. */
     fun requestEnded(head: RequestHead, outcome: Outcome, reason: RefusalReason?) {
         requests.labelValues(head.service.value, outcome.label, reason?.label.orEmpty()).inc()
@@ -107,6 +117,7 @@
     private fun kindOf(message: PeerMessage): String = when (message) {
         is PeerMessage.Hello, is PeerMessage.Heartbeat -> "connection"
         is PeerMessage.ToAdmissionOwner, is PeerMessage.ToIngress -> "admission"
+        is PeerMessage.ToConfiguration -> "configuration"
         is PeerMessage.CrashReported -> "crash"
         is PeerMessage.ToShardOwner, is PeerMessage.ToClaimant -> "ledger"
     }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
@@ -20,6 +20,7 @@
     private val state: () -> RouterState,
     private val metrics: RouterMetrics,
     private val openRequests: () -> Int,
+    private val statusWanted: () -> Unit,
     private val drain: () -> Unit,
 ) {
     /** The answer to one request. */
@@ -49,6 +50,7 @@
     }
 
     private fun status(): String {
+        statusWanted()
         val current = state()
         return buildJsonObject {
             put("router", current.view.self.value)
@@ -61,6 +63,7 @@
                         put("router", router.id.value)
                         put("address", router.address.toString())
                         put("zone", router.zone.value)
+                        put("revision", current.configuration.revisions[router.id]?.value)
                         put("leaving", router.leaving)
                     }
                 }
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/simulation/FleetSimulation.kt
@@ -126,7 +126,7 @@
     private inner class SimulatedRouter(val info: RouterInfo) {
         var alive = true
             private set
-        var state = RouterState.initial(info, clock.now, epochSeconds())
+        var state = reducer.initial(info, clock.now, epochSeconds())
             private set
         private var frozenUntil: Timestamp? = null
         private val delayed = mutableListOf<() -> Unit>()
@@ -186,8 +186,9 @@
                 }
 
                 is RouterEffect.SendDatagram,
-                is RouterEffect.MembershipNotice,
-                is RouterEffect.NoticeOfLedger,
+                is RouterEffect.ParseDocument,
+                is RouterEffect.Orders,
+                is RouterEffect.Notify,
                 RouterEffect.FetchVirtualMachines,
                 -> Unit
             }
