Build the lists of allowed names only for errors

Cause: the checker runs on every router for every document, in the reducer, and joined all zone and engine names for each of 910 targets and 2,730 orders. Change: what is allowed is worked out when an error is added.

--- a/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/FleetDocumentChecker.kt
+++ b/cicadaarch-configuration/src/main/kotlin/org/cicadaarch/configuration/FleetDocumentChecker.kt
@@ -33,35 +33,32 @@
     }
 
     private fun regions(document: FleetDocument): List<DocumentError> = buildList {
-        require(document.regions.isNotEmpty(), "regions", null, "at least one region")
+        expect(document.regions.isNotEmpty(), "regions", null) { "at least one region" }
         val firstRegions = mutableMapOf<String, String>()
         document.regions.forEach { (region, zones) ->
-            require(zones.isNotEmpty(), "regions.$region", "[]", "at least one availability zone")
+            expect(zones.isNotEmpty(), "regions.$region", "[]") { "at least one availability zone" }
             zones.forEachIndexed { index, zone ->
                 val first = firstRegions.putIfAbsent(zone.value, region.value)
-                require(first == null, "regions.$region.$index", zone.value, "a zone once; it also stands in $first")
+                expect(first == null, "regions.$region.$index", zone.value) { "a zone once; it also stands in $first" }
             }
         }
     }
 
     private fun account(path: String, account: Account): List<DocumentError> = buildList {
-        require(account.credentials.isNotEmpty(), "$path.credentials", null, "at least one credential")
+        expect(account.credentials.isNotEmpty(), "$path.credentials", null) { "at least one credential" }
         account.credentials.forEachIndexed { index, credential ->
             addAll(credential("$path.credentials.$index", credential))
         }
-        require(account.weight > 0, "$path.weight", account.weight, "a whole number above 0")
+        expect(account.weight > 0, "$path.weight", account.weight) { "a whole number above 0" }
         addAll(limits("$path.limits", account.limits))
     }
 
     private fun credential(path: String, credential: CredentialHash): List<DocumentError> = buildList {
-        require(credential.iterations > 0, "$path.iterations", credential.iterations, "a whole number above 0")
-        require(decodedSize(credential.salt) > 0, "$path.salt", credential.salt, "base64 of at least one byte")
-        require(
-            decodedSize(credential.hash) == CredentialHasher.HASH_BYTES,
-            "$path.hash",
-            credential.hash,
-            "base64 of ${CredentialHasher.HASH_BYTES} bytes",
-        )
+        expect(credential.iterations > 0, "$path.iterations", credential.iterations) { "a whole number above 0" }
+        expect(decodedSize(credential.salt) > 0, "$path.salt", credential.salt) { "base64 of at least one byte" }
+        expect(decodedSize(credential.hash) == CredentialHasher.HASH_BYTES, "$path.hash", credential.hash) {
+            "base64 of ${CredentialHasher.HASH_BYTES} bytes"
+        }
     }
 
     private fun limits(path: String, limits: AccountLimits): List<DocumentError> = buildList {
@@ -71,7 +68,7 @@
             DocumentKey.TOKENS_PER_SECOND to limits.tokensPerSecond,
             DocumentKey.CONCURRENT_REQUESTS to limits.concurrentRequests,
         ).forEach { (key, limit) ->
-            require(limit == null || limit.toDouble() > 0, "$path.$key", limit, "a number above 0, or no such key")
+            expect(limit == null || limit.toDouble() > 0, "$path.$key", limit) { "a number above 0, or no such key" }
         }
     }
 
@@ -81,50 +78,52 @@
         service: Service,
         document: FleetDocument,
     ): List<DocumentError> = buildList {
-        require(service.timeAllowed.isPositive(), "$path.timeAllowed", service.timeAllowed, "a duration above 0s")
-        require(service.timeAllowed.isFinite(), "$path.timeAllowed", service.timeAllowed, "a finite duration")
-        require(service.loadMultiple > 1, "$path.loadMultiple", service.loadMultiple, ABOVE_ONE)
-        require(document.targets.any { it.value.service == name }, path, name, "a service with at least one target")
+        expect(service.timeAllowed.isPositive(), "$path.timeAllowed", service.timeAllowed) { "a duration above 0s" }
+        expect(service.timeAllowed.isFinite(), "$path.timeAllowed", service.timeAllowed) { "a finite duration" }
+        expect(service.loadMultiple > 1, "$path.loadMultiple", service.loadMultiple) { ABOVE_ONE }
+        expect(document.targets.any { it.value.service == name }, path, name) { "a service with at least one target" }
     }
 
     private fun target(path: String, target: Target, document: FleetDocument): List<DocumentError> = buildList {
-        require(target.service in document.services, "$path.service", target.service, oneOf(document.services.keys))
-        require(document.regionOf(target.zone) != null, "$path.zone", target.zone, zonesOf(document))
-        require(isAddress(target.address), "$path.address", target.address, "host:port with a port from 1 to $MAX_PORT")
-        require(target.capacity > 0, "$path.capacity", target.capacity, "a whole number above 0")
+        expect(target.service in document.services, "$path.service", target.service) { oneOf(document.services.keys) }
+        expect(document.regionOf(target.zone) != null, "$path.zone", target.zone) { zonesOf(document) }
+        expect(isAddress(target.address), "$path.address", target.address) {
+            "host:port with a port from 1 to $MAX_PORT"
+        }
+        expect(target.capacity > 0, "$path.capacity", target.capacity) { "a whole number above 0" }
     }
 
     private fun addresses(targets: Map<TargetId, Target>): List<DocumentError> = buildList {
         targets.entries.groupBy { it.value.address }.values.forEach { sharing ->
             val first = sharing.first().key
             sharing.drop(1).forEach { (id, target) ->
-                require(false, "targets.$id.address", target.address, "an address once; $first has it already")
+                expect(false, "targets.$id.address", target.address) { "an address once; $first has it already" }
             }
         }
     }
 
     private fun presetNames(document: FleetDocument): List<DocumentError> = buildList {
         val allowed = "exactly the presets ${PRESET_NAMES.joinToString()}"
-        PRESET_NAMES.forEach { require(it in document.presets, "presets.$it", null, allowed) }
-        document.presets.keys.forEach { require(it in PRESET_NAMES, "presets.$it", it, allowed) }
-        require(document.activePreset in PRESET_NAMES, "activePreset", document.activePreset, oneOf(PRESET_NAMES))
+        PRESET_NAMES.forEach { expect(it in document.presets, "presets.$it", null) { allowed } }
+        document.presets.keys.forEach { expect(it in PRESET_NAMES, "presets.$it", it) { allowed } }
+        expect(document.activePreset in PRESET_NAMES, "activePreset", document.activePreset) { oneOf(PRESET_NAMES) }
     }
 
     private fun preset(path: String, preset: Preset, document: FleetDocument): List<DocumentError> = buildList {
-        require(preset.admittedPriorities.isNotEmpty(), "$path.admittedPriorities", "[]", "at least one priority")
+        expect(preset.admittedPriorities.isNotEmpty(), "$path.admittedPriorities", "[]") { "at least one priority" }
         preset.accountLimits.forEach { (account, limits) ->
             val limitsPath = "$path.accountLimits.$account"
-            require(account in document.accounts, limitsPath, account, oneOf(document.accounts.keys))
+            expect(account in document.accounts, limitsPath, account) { oneOf(document.accounts.keys) }
             addAll(limits(limitsPath, limits))
         }
         preset.loadMultiples.forEach { (service, multiple) ->
             val multiplePath = "$path.loadMultiples.$service"
-            require(service in document.services, multiplePath, service, oneOf(document.services.keys))
-            require(multiple > 1, multiplePath, multiple, ABOVE_ONE)
+            expect(service in document.services, multiplePath, service) { oneOf(document.services.keys) }
+            expect(multiple > 1, multiplePath, multiple) { ABOVE_ONE }
         }
         preset.wantedStates.keys.forEach { target ->
             val kind = document.targets[target]?.let { document.services[it.service]?.kind }
-            require(kind == ServiceKind.MODEL, "$path.wantedStates.$target", target, oneOf(engines(document)))
+            expect(kind == ServiceKind.MODEL, "$path.wantedStates.$target", target) { oneOf(engines(document)) }
         }
     }
 
@@ -150,8 +149,14 @@
         0
     }
 
-    private fun MutableList<DocumentError>.require(condition: Boolean, path: String, value: Any?, allowed: String) {
-        if (!condition) add(DocumentError(path = path, value = value?.toString(), allowed = allowed))
+    // Lists of names are long and wanted for the errors alone.
+    private inline fun MutableList<DocumentError>.expect(
+        condition: Boolean,
+        path: String,
+        value: Any?,
+        allowed: () -> String,
+    ) {
+        if (!condition) add(DocumentError(path = path, value = value?.toString(), allowed = allowed()))
     }
 
     private val ADDRESS = Regex("(?:[A-Za-z0-9.-]+|\\[[0-9A-Fa-f:.]+]):([0-9]{1,5})")
