Pass on membership news between probes

Change: while a router has updates to pass on, it sends them to one random member every 200 ms beside its probes; the number of transmissions of an update stays. Equally often sent updates go out in random order.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/SimulatedFleet.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/SimulatedFleet.kt
@@ -86,6 +86,7 @@
     /** Whether every running, awake router's view is exactly the running routers that [wanted] keeps for it. */
     fun agrees(wanted: (viewer: RouterInfo, router: RouterInfo) -> Boolean = { _, _ -> true }): Boolean {
         val running = current.filterNotNull()
+        if (network.running.first().view.routers.size == 1 && running.size > 1) return false
         return network.running.filter { network.isAwake(it.self.address) }.all { node ->
             node.view.routers.keys == running.filter { wanted(node.self, it) }.mapTo(mutableSetOf()) { it.id }
         }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Dissemination.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Dissemination.kt
@@ -16,7 +16,7 @@
     /** The updates that fit in [bytes], without one on [except], and the state that has counted them as sent. */
     fun take(state: MembershipState, bytes: Int, except: RouterId?): Pair<MembershipState, List<MemberUpdate>> {
         if (state.updates.isEmpty()) return state to emptyList()
-        val chosen = fitting(state.updates.values.filter { it.update.id != except }.sortedWith(LEAST_SENT_FIRST), bytes)
+        val chosen = fitting(leastSentFirst(state).filter { it.update.id != except }, bytes)
         return state.copy(updates = counted(state, chosen)) to chosen.map { it.update }
     }
 
@@ -33,6 +33,12 @@
     private fun QueuedUpdate.isAccusation(): Boolean =
         update.status == MemberStatus.SUSPECT || update.status == MemberStatus.REMOVED
 
+    /** Departures go first, so that the next process at an address meets no conflict; ties are broken at random. */
+    private fun leastSentFirst(state: MembershipState): List<QueuedUpdate> = state.updates.values
+        .map { queued -> queued to RecordHash.mix(queued.update.id.value.hashCode() xor state.sequence) }
+        .sortedWith(compareBy({ it.first.transmissions }, { it.first.update.status }, { it.second }))
+        .map { it.first }
+
     private fun fitting(candidates: List<QueuedUpdate>, bytes: Int): List<QueuedUpdate> {
         var left = bytes
         return candidates.takeWhile { candidate ->
@@ -54,9 +60,4 @@
 
     private fun transmissionLimit(members: Int): Int =
         ceil(settings.disseminationMultiplier * maxOf(1.0, log10(members + 1.0))).toInt()
-
-    private companion object {
-        /** Departures go first, so that the next process at the same address meets no conflict. */
-        val LEAST_SENT_FIRST = compareBy<QueuedUpdate>({ it.transmissions }, { it.update.status }, { it.update.id })
-    }
 }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
@@ -46,6 +46,7 @@
         .then { prober.expire(it, now) }
         .then { suspicions.expire(it, now) }
         .then { prober.startDue(it, now) }
+        .then { prober.gossipDue(it, now) }
         .then { reconciler.contactDue(it, now) }
         .then { reconciler.fetchDue(it, now) }
         .then { Step(dissemination.withoutOldAccusations(registry.cleanup(it, now), now)) }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
@@ -23,6 +23,8 @@
     val suspicionMultiplier: Double = 4.0,
     /** Transmissions of an update by each router, per decimal digit of the fleet's size. */
     val disseminationMultiplier: Double = 4.0,
+    /** Time between two messages that only pass on updates, while there are any; probes carry them too. */
+    val gossipPeriod: Duration = 200.milliseconds,
     /** Time after which a suspicion or removal is no longer passed on. */
     val accusationLife: Duration = 15.seconds,
     /** Greatest size of an encoded message, in bytes. */
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
@@ -76,6 +76,7 @@
                 schedule = Schedule(
                     lastTick = now,
                     probe = now,
+                    gossip = now,
                     contact = now,
                     listFetch = now,
                     cleanup = now,
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Prober.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Prober.kt
@@ -2,6 +2,7 @@
 
 import kotlin.random.Random
 import kotlin.time.Duration
+import org.cicadaarch.membership.MembershipMessage.Gossip
 import org.cicadaarch.membership.MembershipMessage.IndirectAck
 import org.cicadaarch.membership.MembershipMessage.Ping
 import org.cicadaarch.membership.MembershipMessage.PingRequest
@@ -28,6 +29,18 @@
         }
     }
 
+    /** Passes on updates, while there are any, to one random member. */
+    fun gossipDue(state: MembershipState, now: Timestamp): MembershipStep {
+        if (state.updates.isEmpty() || now < state.schedule.gossip || state.probeOrder.isEmpty()) return Step(state)
+        val receiver = state.table[state.probeOrder[randomOf(state).nextInt(state.probeOrder.size)]]
+        val gossiping = state.copy(
+            schedule = state.schedule.copy(gossip = now + settings.gossipPeriod),
+            sequence = state.sequence + 1,
+        )
+        if (receiver == null) return Step(gossiping)
+        return packets.send(gossiping, receiver.info.address) { sender, updates -> Gossip(sender, updates) }
+    }
+
     /** Probes [address], where a router not yet known may listen, unless such a probe is under way. */
     fun contact(state: MembershipState, address: RouterAddress, now: Timestamp): MembershipStep {
         val underWay = state.probes.values.any { it.target == null && it.address == address }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Schedule.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Schedule.kt
@@ -8,6 +8,7 @@
 internal data class Schedule(
     val lastTick: Timestamp,
     val probe: Timestamp,
+    val gossip: Timestamp,
     val contact: Timestamp,
     val listFetch: Timestamp,
     val cleanup: Timestamp,
