--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipReducer.kt
@@ -44,7 +44,7 @@
 
     private fun ticked(state: MembershipState, now: Timestamp): MembershipStep = pauses.ticked(state, now)
         .then { prober.expire(it, now) }
-        .then { suspicions.expire(it, now) }
+        .then { suspicions.expire(suspicions.withLastProbes(it, now), now) }
         .then { prober.startDue(it, now) }
         .then { prober.gossipDue(it, now) }
         .then { reconciler.contactDue(it, now) }
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipState.kt
@@ -30,7 +30,7 @@
     internal val viewChangesAt: Timestamp? = null,
     internal val tombstones: PersistentMap<RouterId, Tombstone> = persistentMapOf(),
     internal val removals: PersistentMap<RouterAddress, RemovalHistory> = persistentMapOf(),
-    internal val suspicions: PersistentMap<RouterId, Timestamp> = persistentMapOf(),
+    internal val suspicions: PersistentMap<RouterId, Suspicion> = persistentMapOf(),
     internal val revisions: PersistentMap<RouterId, Revision> = persistentMapOf(),
     internal val workingHelpers: PersistentMap<RouterId, RouterAddress> = persistentMapOf(),
     internal val updates: PersistentMap<RouterId, QueuedUpdate> = persistentMapOf(),
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Prober.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Prober.kt
@@ -192,7 +192,7 @@
         Random(settings.seed xor (state.self.id.hashCode().toLong() shl Int.SIZE_BITS) xor state.sequence.toLong())
 
     private companion object {
-        const val DOUBTFUL_PER_TICK = 2
+        const val DOUBTFUL_PER_TICK = 5
 
         /** Draws for each wanted helper; some fall on the target, on former members or on the same zone. */
         const val DRAWS_PER_HELPER = 4
--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Suspicions.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/Suspicions.kt
@@ -23,7 +23,7 @@
         val accused = member.copy(incarnation = maxOf(incarnation, member.incarnation))
         val suspected = state.copy(
             table = if (accused == member) state.table else state.table.with(accused),
-            suspicions = state.suspicions.put(id, now + timeToRefute(state)),
+            suspicions = state.suspicions.put(id, Suspicion(deadline = now + timeToRefute(state))),
         )
         return Step(
             dissemination.queued(suspected, accused.toAccusation()),
@@ -40,7 +40,7 @@
 
     /** Removes the members whose time to refute is over. */
     fun expire(state: MembershipState, now: Timestamp): MembershipStep =
-        state.suspicions.filterValues { it <= now }.keys.sorted().steps(state) { current, id ->
+        state.suspicions.filterValues { it.deadline <= now }.keys.sorted().steps(state) { current, id ->
             val member = current.table[id]
             if (member == null) {
                 Step(current.copy(suspicions = current.suspicions.remove(id)))
@@ -49,9 +49,23 @@
             }
         }
 
+    /**
+     * Marks the members whose time to refute is nearly over as doubtful, to be probed once more: this router may only
+     * have missed the refutation. A router that did refute is probed by the few that missed it.
+     */
+    fun withLastProbes(state: MembershipState, now: Timestamp): MembershipState {
+        val latest = now + settings.directTimeout + settings.indirectTimeout
+        val nearlyOver = state.suspicions.filterValues { !it.probedAgain && it.deadline <= latest }
+        if (nearlyOver.isEmpty()) return state
+        val marked = state.suspicions.putAll(nearlyOver.mapValues { (_, it) -> it.copy(probedAgain = true) })
+        return state.copy(suspicions = marked, doubtful = state.doubtful.addAll(nearlyOver.keys.sorted()))
+    }
+
     /** Gives each suspected member [extension] more time. */
     fun extended(state: MembershipState, extension: Duration): MembershipState = state.copy(
-        suspicions = state.suspicions.mapValues { it.value + extension }.toPersistentMap(),
+        suspicions = state.suspicions.mapValues { (_, it) ->
+            it.copy(deadline = it.deadline + extension)
+        }.toPersistentMap(),
     )
 
     private fun timeToRefute(state: MembershipState): Duration {
