Shorten the membership's time to refute

Cause: with the last probe, false removals leave room for a faster removal. Change: suspicionMultiplier 4 becomes 3.

--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
@@ -20,7 +20,7 @@
     /** Number of helpers that are asked when a direct probe is unanswered. */
     val helpers: Int = 3,
     /** Probe periods, per decimal digit of the fleet's size, that a suspected router has to refute. */
-    val suspicionMultiplier: Double = 4.0,
+    val suspicionMultiplier: Double = 3.0,
     /** Transmissions of an update by each router, per decimal digit of the fleet's size. */
     val disseminationMultiplier: Double = 4.0,
     /** Time between two messages that only pass on updates, while there are any; probes carry them too. */
