--- a/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
+++ b/cicadaarch-membership/src/main/kotlin/org/cicadaarch/membership/MembershipSettings.kt
@@ -20,9 +20,11 @@
     /** Number of helpers that are asked when a direct probe is unanswered. */
     val helpers: Int = 3,
     /** Probe periods, per decimal digit of the fleet's size, that a suspected router has to refute. */
-    val suspicionMultiplier: Double = 4.0,
+    val suspicionMultiplier: Double = 3.0,
     /** Transmissions of an update by each router, per decimal digit of the fleet's size. */
     val disseminationMultiplier: Double = 4.0,
+    /** Time between two messages that only pass on updates, while there are any; probes carry them too. */
+    val gossipPeriod: Duration = 200.milliseconds,
     /** Time after which a suspicion or removal is no longer passed on. */
     val accusationLife: Duration = 15.seconds,
     /** Greatest size of an encoded message, in bytes. */
