Measure how long a preset takes to reach engines

Cause: the wait before a new holder acts and the staggering of loads both delay a preset; operators choose their settings by it.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -2,11 +2,13 @@
 
 import kotlin.system.exitProcess
 import org.cicadaarch.experiment.ledger.LedgerExperiment
+import org.cicadaarch.experiment.orders.OrdersExperiment
 
 private const val EXIT_USAGE = 2
 
 private val experiments: List<Experiment> = listOf(
     LedgerExperiment(),
+    OrdersExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
