--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerSettings.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerSettings.kt
@@ -37,6 +37,9 @@
     init {
         require(writeBurst > 0) { "writeBurst must be positive, was $writeBurst" }
         require(shards > 0) { "shards must be positive, was $shards" }
+        require(inquiryInterval < ingressLease) {
+            "inquiryInterval $inquiryInterval must be shorter than ingressLease $ingressLease"
+        }
         require(snapshotInterval in 1 until slots) {
             "snapshotInterval must be between 1 and ${slots - 1}, was $snapshotInterval"
         }
