--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
@@ -43,16 +43,8 @@
                 Step(load, listOf(send(from, spill)))
             }
 
-            hasRoom(
-                load,
-                context,
-                now,
-            ) && isOpenTo(
-                load,
-                context,
-                demand,
-                now,
-            ) && load.queue.isEmpty -> grant(load, context, from, attempt, demand, now)
+            load.queue.isEmpty && isOpenTo(load, context, demand, now) ->
+                grant(load, context, from, attempt, demand, now)
 
             else -> withoutRoom(load, context, waiting(attempt, from, demand, now), now)
         }
@@ -71,7 +63,7 @@
         val left = load.copy(
             permits = load.permits.remove(attempt),
             queue = load.queue.minus(attempt),
-            ended = load.ended.add(attempt),
+            ended = load.ended.put(attempt, now + settings.permitLease),
             dueTimes = load.dueTimes.plus(attempt, now + settings.permitLease),
             meanHold = if (hold == null) load.meanHold else smoothed(load.meanHold, hold),
             meanFirstToken = message.timeToFirstToken?.let { smoothed(load.meanFirstToken, it) } ?: load.meanFirstToken,
@@ -291,7 +283,7 @@
 
             waiting != null -> Step(load.copy(dueTimes = load.dueTimes.plus(attempt, nextLook(waiting, now))))
 
-            else -> Step(load.copy(ended = load.ended.remove(attempt)))
+            else -> Step(if (load.endedBefore(attempt, now)) load.copy(ended = load.ended.remove(attempt)) else load)
         }
     }
 
@@ -315,9 +307,12 @@
         return !context.target.leaving && load.carried < limit
     }
 
-    /** Whether the target takes a chat without a prefix here, or leaves its last slots to chats that return. */
-    private fun isOpenTo(load: TargetLoad, context: TargetContext, demand: PermitDemand, now: Timestamp): Boolean =
-        demand.returning || demand.spills > 0 || load.carried < LoadBound.newChatLimit(load, context, settings, now)
+    /** Whether there is room, other than the last slots which chats without a prefix leave to those that return. */
+    private fun isOpenTo(load: TargetLoad, context: TargetContext, demand: PermitDemand, now: Timestamp): Boolean {
+        val mayFill = demand.returning || demand.spills > 0
+        return hasRoom(load, context, now) &&
+            (mayFill || load.carried < LoadBound.newChatLimit(load, context, settings, now))
+    }
 
     private fun earlierPlace(load: TargetLoad, context: TargetContext, demand: PermitDemand) =
         if (settings.followsSpills && demand.home && demand.returning) {
@@ -342,6 +337,9 @@
     private fun isOverdue(load: TargetLoad, request: QueuedRequest, now: Timestamp): Boolean =
         request.deadline <= now + load.meanFirstToken * FIRST_TOKEN_MARGIN
 
+    private fun TargetLoad.endedBefore(attempt: AttemptId, now: Timestamp): Boolean =
+        ended[attempt]?.let { it <= now } ?: false
+
     private fun TargetLoad.withoutStalePresumption(now: Timestamp): TargetLoad =
         if (presumed && now - ownedSince > PRESUMED_FOR) copy(foreign = 0, presumed = false) else this
 
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetLoad.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetLoad.kt
@@ -3,16 +3,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Timestamp
 
 /**
  * What an admission owner keeps of one target.
  *
- * [foreign] are requests on the target that no permit here accounts for. [ended] are attempts released lately: a late
+ * [foreign] are requests on the target that no permit here accounts for. [ended] are attempts released lately, until when that counts: a late
  * copy of their request is not granted again. [meanHold] is the smoothed time for which a permit is held.
  */
 data class TargetLoad(
@@ -22,7 +20,7 @@
     val spills: SpillMemory = SpillMemory(),
     val foreign: Int = 0,
     val presumed: Boolean = false,
-    val ended: PersistentSet<AttemptId> = persistentSetOf(),
+    val ended: PersistentMap<AttemptId, Timestamp> = persistentMapOf(),
     val dueTimes: DueTimes = DueTimes(),
     val recentPeak: RecentPeak = RecentPeak(),
     val meanHold: Duration = INITIAL_HOLD,
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
@@ -16,7 +16,9 @@
 import org.cicadaarch.model.RequestId
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.TargetId
-import org.cicadaarch.placement.RendezvousHash
+import org.cicadaarch.placement.Candidate
+import org.cicadaarch.placement.TargetHistory
+import org.cicadaarch.placement.TargetRanking
 
 /**
  * The real admission reducer in the loop: every router runs one, and an ingress that asks the owners in turn.
@@ -25,6 +27,7 @@
     run: PolicyRun,
     private val reducer: AdmissionReducer,
     private val refused: (Turn) -> Unit,
+    private val steadies: Boolean,
     seed: Long,
 ) : Dispatcher {
     private val scenario = run.scenario
@@ -57,7 +60,12 @@
     override fun offer(turn: Turn) {
         turn.attempt++
         val attempt = AttemptId(RequestId("%016x".format(turn.id)), turn.attempt)
-        val order = RendezvousHash.rank(key = "chat-${turn.chat}", members = engines.keys, name = { it.value })
+        val order = TargetRanking.forChat(
+            account = fleet.accountId(turn.account),
+            chat = fleet.chatId(turn.chat),
+            candidates = engines.map { (target, engine) -> candidate(target, engine) },
+            region = null,
+        )
         val search = Search(attempt, turn, order)
         searches[attempt] = search
         ask(search, order.first())
@@ -70,6 +78,11 @@
         sendToOwner(turn.router, search.asked, released(attempt, search))
     }
 
+    private fun candidate(target: TargetId, engine: EngineModel): Candidate {
+        val history = TargetHistory((clock.now - engine.upSince).microseconds, engine.failures)
+        return Candidate(target, engine.slots.toDouble(), steadiness = if (steadies) history.steadiness else 1.0)
+    }
+
     private fun released(attempt: AttemptId, search: Search): AdmissionMessage {
         val firstToken = search.turn.firstTokenAt?.let { (it - search.grantedAt).microseconds }
         return AdmissionMessage.PermitReleased(attempt, search.asked, firstToken)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/EngineModel.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/EngineModel.kt
@@ -21,6 +21,11 @@
     var up = true
         private set
 
+    var upSince = 0L
+        private set
+    var failures = 0
+        private set
+
     /** Whether new work may be sent here; false from the start of a planned leave. */
     var open = true
 
@@ -48,6 +53,7 @@
         waiting.clear()
         inFlightTokens = 0
         incarnation++
+        failures++
         up = false
         noteOccupancy()
         listener.crashed(lost, this)
@@ -57,6 +63,7 @@
         up = true
         prefillFreeAt = clock.now
         cache.clear()
+        upSince = clock.now
         noteOccupancy()
     }
 
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Policy.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Policy.kt
@@ -22,6 +22,7 @@
             admission("no-patience", AdmissionSettings(recomputeTime = Duration.ZERO)),
             admission("patience-150us", AdmissionSettings(recomputeTime = 150.microseconds)),
             admission("patience-600us", AdmissionSettings(recomputeTime = 600.microseconds)),
+            admission("no-steady-period", AdmissionSettings(), steadies = false),
             admission("first-come", AdmissionSettings(sharesFairly = false)),
         )
 
@@ -30,8 +31,9 @@
                 DirectDispatcher(choice, run.clock, seed)
             }
 
-        private fun admission(name: String, settings: AdmissionSettings) = Policy(name) { run, seed, refused ->
-            AdmissionDispatcher(run, AdmissionReducer(settings), refused, seed)
-        }
+        private fun admission(name: String, settings: AdmissionSettings, steadies: Boolean = true) =
+            Policy(name) { run, seed, refused ->
+                AdmissionDispatcher(run, AdmissionReducer(settings), refused, steadies, seed)
+            }
     }
 }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Scenarios.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Scenarios.kt
@@ -7,7 +7,9 @@
     private const val SECOND = MICROSECONDS_PER_SECOND
     private const val MILLISECOND = MICROSECONDS_PER_MILLISECOND
 
-    val all: List<Scenario> by lazy { listOf(partnership(), partnershipSurge(), guild(), guildChurn(), aim()) }
+    val all: List<Scenario> by lazy {
+        listOf(partnership(), partnershipSurge(), partnershipJoin(), guild(), guildChurn(), aim())
+    }
 
     private val partnershipEngine =
         EngineSetting(slots = 16, prefillRate = 8_000, decodeInterval = 20 * MILLISECOND, cacheTokens = 300_000)
@@ -38,6 +40,11 @@
         },
     )
 
+    private fun partnershipJoin() = partnership().copy(
+        name = "partnership-join",
+        churn = listOf(Churn.Join(150 * SECOND), Churn.Leave(250 * SECOND, engine = 2)),
+    )
+
     private fun guild() = Scenario(
         name = "guild",
         engines = 12,
--- /dev/null
+++ b/cicadaarch-placement/src/test/kotlin/org/cicadaarch/placement/TargetRankingTest.kt
@@ -0,0 +1,81 @@
+package org.cicadaarch.placement
+
+import kotlin.math.abs
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.ChatId
+import org.cicadaarch.model.RegionName
+import org.cicadaarch.model.RequestId
+import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.ZoneName
+
+class TargetRankingTest {
+    private val north = RegionName("north")
+    private val south = RegionName("south")
+    private val candidates = List(12) { number ->
+        Candidate(
+            id = TargetId("engine-$number"),
+            weight = if (number < 4) 2.0 else 1.0,
+            region = if (number % 2 == 0) north else south,
+            zone = ZoneName("zone-${number % 4}"),
+        )
+    }
+
+    private fun order(chat: Int, candidates: List<Candidate>, region: RegionName? = null) =
+        TargetRanking.forChat(AccountId("account"), ChatId("chat-$chat"), candidates, region)
+
+    @Test
+    fun `Given a target joins, when a chat moves to it, then the earlier home is its second choice`() {
+        val joined = candidates + Candidate(TargetId("joiner"), weight = 2.0)
+        val moved = (1..2_000).filter { order(it, joined).first() == TargetId("joiner") }
+        assertTrue(moved.isNotEmpty())
+        moved.forEach { assertEquals(order(it, candidates).first(), order(it, joined)[1]) }
+    }
+
+    @Test
+    fun `Given two regions, when a chat is ranked, then all targets of the own region go first`() {
+        (1..200).forEach { chat ->
+            val order = order(chat, candidates, south)
+            val regions = order.map { id -> candidates.first { it.id == id }.region }
+            assertEquals(List(6) { south } + List(6) { north }, regions)
+        }
+    }
+
+    @Test
+    fun `Given weights, when many chats are ranked, then each target is home of its share`() {
+        val homes = (1..16_000).groupingBy { order(it, candidates).first() }.eachCount()
+        candidates.forEach { candidate ->
+            val expected = 16_000 * candidate.weight / 16.0
+            val found = homes.getValue(candidate.id)
+            assertTrue(abs(found - expected) < 0.12 * expected, "${candidate.id} has $found of $expected")
+        }
+    }
+
+    @Test
+    fun `Given a request without a chat, when it is ranked, then only the first two change places for the zone`() {
+        (1..200).forEach { number ->
+            val request = RequestId("request-$number")
+            val plain = TargetRanking.forRequest(request, candidates, region = null, zone = null)
+            val zoned = TargetRanking.forRequest(request, candidates, region = null, zone = ZoneName("zone-1"))
+            assertEquals(plain.take(2).toSet(), zoned.take(2).toSet())
+            assertEquals(plain.drop(2), zoned.drop(2))
+        }
+    }
+
+    @Test
+    fun `Given failures, when a target is up again, then it regains its weight after a period that grows`() {
+        data class Case(val history: TargetHistory, val steady: Boolean)
+        listOf(
+            Case(TargetHistory(1.seconds, failures = 0), steady = true),
+            Case(TargetHistory(1.seconds, failures = 1), steady = true),
+            Case(TargetHistory(29.seconds, failures = 2), steady = false),
+            Case(TargetHistory(30.seconds, failures = 2), steady = true),
+            Case(TargetHistory(59.seconds, failures = 3), steady = false),
+            Case(TargetHistory(5.minutes, failures = 40), steady = true),
+        ).forEach { (history, steady) -> assertEquals(steady, history.steadiness == 1.0, "$history") }
+    }
+}
