Lend shares of account limits to ingresses

Cause: an account's limits hold over the whole fleet, of which each router sees a part. Change: pure quota role: an owner per account lends rates and concurrency by demand, never more than the limit at one time; ingresses keep token buckets, fall back to the limit divided by routers when the owner is lost, and keep and send nothing for idle accounts. Experiment command `quota`.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetLoad.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetLoad.kt
@@ -10,8 +10,9 @@
 /**
  * What an admission owner keeps of one target.
  *
- * [foreign] are requests on the target that no permit here accounts for. [ended] are attempts released lately, until when that counts: a late
- * copy of their request is not granted again. [meanHold] is the smoothed time for which a permit is held.
+ * [foreign] are requests on the target that no permit here accounts for. [ended] are attempts released lately, until
+ * when that counts: a late copy of their request is not granted again. [meanHold] is the smoothed time for which a
+ * permit is held.
  */
 data class TargetLoad(
     val ownedSince: Timestamp,
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -2,11 +2,13 @@
 
 import kotlin.system.exitProcess
 import org.cicadaarch.experiment.policy.PolicyExperiment
+import org.cicadaarch.experiment.policy.QuotaExperiment
 
 private const val EXIT_USAGE = 2
 
 private val experiments: List<Experiment> = listOf(
     PolicyExperiment(),
+    QuotaExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
--- /dev/null
+++ b/cicadaarch-quota/src/main/kotlin/org/cicadaarch/quota/QuotaEffect.kt
@@ -0,0 +1,11 @@
+package org.cicadaarch.quota
+
+import org.cicadaarch.model.RouterId
+
+/**
+ * What the quota role of one router wants done.
+ */
+sealed class QuotaEffect {
+    /** Sends [message] to the router [to], which may be this router. */
+    data class Send(val to: RouterId, val message: QuotaMessage) : QuotaEffect()
+}
