--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -7,6 +7,7 @@
 import org.cicadaarch.experiment.membership.MembershipExperiment
 import org.cicadaarch.experiment.policy.PolicyExperiment
 import org.cicadaarch.experiment.orders.OrdersExperiment
+import org.cicadaarch.experiment.policy.QuotaExperiment
 
 private const val EXIT_USAGE = 2
 
@@ -17,6 +18,7 @@
     PolicyExperiment(),
     MembershipExperiment(),
     OrdersExperiment(),
+    QuotaExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
