Enforce account limits and rank targets by region in the router

Cause: limits of client accounts were in the document but nothing enforced them; the ranking ignored regions. Change: a request is first checked against its account's share of the limits (quota reducer), and its end is reported; ingresses rank by TargetRanking; /explain tells order, owners, load and limits.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
@@ -7,6 +7,7 @@
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.RouterId
+import org.cicadaarch.quota.QuotaMessage
 
 /**
  * A message from one router to another. Delivery may fail, repeat or reorder; the roles allow for it.
@@ -33,6 +34,10 @@
     @Serializable
     data class ToClaimant(val message: LedgerMessage.ForIngress) : PeerMessage()
 
+    /** Between an ingress and the quota owner of a client account. */
+    @Serializable
+    data class ToQuota(val message: QuotaMessage) : PeerMessage()
+
     /** From the configuration of one router to that of another. */
     @Serializable
     data class ToConfiguration(val message: ConfigurationMessage) : PeerMessage()
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RoleReducers.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RoleReducers.kt
@@ -6,6 +6,7 @@
 import org.cicadaarch.ledger.LedgerReducer
 import org.cicadaarch.membership.MembershipReducer
 import org.cicadaarch.orders.OrdersReducer
+import org.cicadaarch.quota.QuotaReducer
 import org.cicadaarch.request.IngressReducer
 
 /**
@@ -18,5 +19,6 @@
     val ledger: LedgerReducer = LedgerReducer(),
     val claimant: ClaimantReducer = ClaimantReducer(),
     val configuration: ConfigurationReducer = ConfigurationReducer(),
+    val quota: QuotaReducer = QuotaReducer(),
     val orders: OrdersReducer = OrdersReducer(),
 )
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -17,6 +17,8 @@
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.orders.OrdersEvent
 import org.cicadaarch.orders.OrdersState
+import org.cicadaarch.quota.QuotaEvent
+import org.cicadaarch.quota.QuotaState
 import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.request.IngressState
 
@@ -36,6 +38,7 @@
             claimant = ClaimantState(view = view),
             ingress = IngressState(view = view),
             admission = AdmissionState(view = view, fleet = null),
+            quota = QuotaState(view = view, fleet = null),
             orders = OrdersState(view = view),
         )
     }
@@ -44,7 +47,7 @@
     fun reduce(state: RouterState, event: RouterEvent, now: Timestamp): Step<RouterState, RouterEffect> {
         val transition = RouterTransition(roles, state, now)
         when (event) {
-            is RouterEvent.Ingress -> transition.reduceIngress(event.event)
+            is RouterEvent.Ingress -> transition.callerEvent(event.event)
 
             is RouterEvent.PeerMessageReceived -> transition.receive(event.from, event.message)
 
@@ -77,6 +80,7 @@
         transition.reduceMembership(MembershipEvent.Tick)
         transition.reduceConfiguration(ConfigurationEvent.Tick)
         transition.reduceClaimant(ClaimantEvent.Tick)
+        transition.reduceQuota(QuotaEvent.Tick)
         transition.reduceAdmission(AdmissionEvent.Tick)
         transition.reduceIngress(IngressEvent.Tick)
         transition.reduceOrders(OrdersEvent.Tick)
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
@@ -1,17 +1,23 @@
 package org.cicadaarch.core
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.admission.AdmissionState
 import org.cicadaarch.configuration.spread.ConfigurationState
 import org.cicadaarch.ledger.ClaimantState
 import org.cicadaarch.ledger.LedgerState
 import org.cicadaarch.membership.MembershipState
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.RequestId
 import org.cicadaarch.model.Revision
 import org.cicadaarch.model.RouterView
 import org.cicadaarch.orders.OrdersState
+import org.cicadaarch.quota.QuotaState
 import org.cicadaarch.request.IngressState
 
 /**
- * Everything that a router knows, as the states of its roles.
+ * Everything that a router knows, as the states of its roles. [accounts] are those of the open requests that count
+ * against their accounts' limits.
  */
 data class RouterState(
     val view: RouterView,
@@ -21,6 +27,8 @@
     val claimant: ClaimantState,
     val ingress: IngressState,
     val admission: AdmissionState,
+    val quota: QuotaState,
     val orders: OrdersState,
+    val accounts: PersistentMap<RequestId, AccountId> = persistentMapOf(),
     val revision: Revision = Revision.NONE,
 )
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
@@ -25,9 +25,13 @@
 import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.orders.OrdersEffect
 import org.cicadaarch.orders.OrdersEvent
+import org.cicadaarch.quota.QuotaEffect
+import org.cicadaarch.quota.QuotaEvent
+import org.cicadaarch.quota.QuotaVerdict
 import org.cicadaarch.request.ClaimVerdict
 import org.cicadaarch.request.IngressEffect
 import org.cicadaarch.request.IngressEvent
+import org.cicadaarch.request.RefusalReason
 
 /**
  * Collects the next state and the effects while one event at [now] passes through the roles that it concerns.
@@ -51,6 +55,8 @@
 
             is PeerMessage.ToClaimant -> reduceClaimant(ClaimantEvent.Received(from, message.message))
 
+            is PeerMessage.ToQuota -> reduceQuota(QuotaEvent.Received(from, message.message))
+
             is PeerMessage.ToConfiguration -> reduceConfiguration(ConfigurationEvent.Received(from, message.message))
 
             is PeerMessage.CrashReported -> reduceIngress(
@@ -68,6 +74,7 @@
         reduceLedger(LedgerEvent.RoutersChanged(view))
         reduceClaimant(ClaimantEvent.RoutersChanged(view))
         reduceConfiguration(ConfigurationEvent.RoutersChanged(view))
+        reduceQuota(QuotaEvent.RoutersChanged(view))
         reduceOrders(OrdersEvent.RoutersChanged(view))
     }
 
@@ -77,6 +84,7 @@
         reduceMembership(MembershipEvent.RevisionInstalled(revision))
         reduceAdmission(AdmissionEvent.FleetChanged(fleet))
         reduceIngress(IngressEvent.FleetChanged(fleet))
+        reduceQuota(QuotaEvent.FleetChanged(fleet))
         reduceOrders(OrdersEvent.FleetChanged(fleet))
     }
 
@@ -88,12 +96,39 @@
         }
     }
 
+    /** An event from the process around the reducer; a new request must be within its account's limits. */
+    fun callerEvent(event: IngressEvent) {
+        if (event !is IngressEvent.Arrived) return reduceIngress(event)
+        val head = event.head
+        val tokens = head.promptTokens + head.outputTokens
+        val verdict = roles.quota.mayStart(state.quota, head.account, tokens, now)
+        val isAllowed = verdict is QuotaVerdict.Allowed
+        reduceQuota(QuotaEvent.Offered(head.account, tokens, admitted = isAllowed))
+        if (isAllowed) {
+            state = state.copy(accounts = state.accounts.put(head.id, head.account))
+            reduceIngress(event)
+        } else {
+            val end = IngressEffect.EndRequest(head.id, Outcome.NOT_RUN, RefusalReason.ACCOUNT_LIMIT)
+            effects += RouterEffect.Ingress(end)
+        }
+    }
+
     fun reduceIngress(event: IngressEvent) {
         val step = roles.ingress.reduce(state.ingress, event, now)
         state = state.copy(ingress = step.state)
         step.effects.forEach(::carryOut)
     }
 
+    fun reduceQuota(event: QuotaEvent) {
+        val step = roles.quota.reduce(state.quota, event, now)
+        state = state.copy(quota = step.state)
+        step.effects.forEach { effect ->
+            when (effect) {
+                is QuotaEffect.Send -> send(effect.to, PeerMessage.ToQuota(effect.message))
+            }
+        }
+    }
+
     fun reduceAdmission(event: AdmissionEvent) {
         val step = roles.admission.reduce(state.admission, event, now)
         state = state.copy(admission = step.state)
@@ -140,10 +175,11 @@
 
             is IngressEffect.ReportCrash -> tellAll(PeerMessage.CrashReported(effect.fingerprint, effect.attempt))
 
+            is IngressEffect.EndRequest -> ended(effect)
+
             is IngressEffect.StartAttempt,
             is IngressEffect.CancelAttempt,
             is IngressEffect.ProbeTarget,
-            is IngressEffect.EndRequest,
             -> effects += RouterEffect.Ingress(effect)
         }
     }
@@ -232,6 +268,14 @@
         (state.view.routers.keys - state.view.self).forEach { effects += RouterEffect.SendToPeer(it, message) }
     }
 
+    private fun ended(effect: IngressEffect.EndRequest) {
+        state.accounts[effect.request]?.let { account ->
+            state = state.copy(accounts = state.accounts.remove(effect.request))
+            reduceQuota(QuotaEvent.Ended(account))
+        }
+        effects += RouterEffect.Ingress(effect)
+    }
+
     private fun claim(head: RequestHead) {
         val keyed = head.idempotency as? Idempotency.Keyed ?: return
         reduceClaimant(ClaimantEvent.Requested(head.id, head.account, keyed.key, head.timeAllowed))
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -5,8 +5,8 @@
 import org.cicadaarch.experiment.demonstration.StandInsExperiment
 import org.cicadaarch.experiment.ledger.LedgerExperiment
 import org.cicadaarch.experiment.membership.MembershipExperiment
-import org.cicadaarch.experiment.policy.PolicyExperiment
 import org.cicadaarch.experiment.orders.OrdersExperiment
+import org.cicadaarch.experiment.policy.PolicyExperiment
 import org.cicadaarch.experiment.policy.QuotaExperiment
 
 private const val EXIT_USAGE = 2
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressTransition.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressTransition.kt
@@ -62,7 +62,9 @@
 
     fun ownerOf(target: TargetId): RouterId? = TargetOwnership.ownerOf(target, state.view)
 
-    fun orderOf(request: OpenRequest): List<TargetId> = state.fleet?.let { TargetOrder.of(request.head, it) }.orEmpty()
+    fun orderOf(request: OpenRequest): List<TargetId> = state.fleet?.let {
+        TargetOrder.of(request.head, it, state.view)
+    }.orEmpty()
 
     fun homeOf(request: OpenRequest): TargetId? = orderOf(request).firstOrNull()
 
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/TargetOrder.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/TargetOrder.kt
@@ -1,13 +1,18 @@
 package org.cicadaarch.request
 
 import org.cicadaarch.model.RequestHead
+import org.cicadaarch.model.RouterView
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * The order in which the targets of a request are asked.
+ * The order in which the targets of a request are asked by the ingress that [view] belongs to.
  */
 internal object TargetOrder {
-    fun of(head: RequestHead, fleet: FleetDocument): List<TargetId> =
-        ChatPlacement.order(head.account, head.service, head.chat, fleet, fallbackKey = head.id.value)
+    fun of(head: RequestHead, fleet: FleetDocument, view: RouterView): List<TargetId> {
+        val self = view.routers[view.self]
+        return head.chat
+            ?.let { ChatPlacement.ofChat(head.account, head.service, it, fleet, self?.region) }
+            ?: ChatPlacement.ofRequest(head.id, head.service, fleet, self?.region, self?.zone)
+    }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/RouterMetrics.kt
@@ -117,6 +117,7 @@
     private fun kindOf(message: PeerMessage): String = when (message) {
         is PeerMessage.Hello, is PeerMessage.Heartbeat -> "connection"
         is PeerMessage.ToAdmissionOwner, is PeerMessage.ToIngress -> "admission"
+        is PeerMessage.ToQuota -> "quota"
         is PeerMessage.ToConfiguration -> "configuration"
         is PeerMessage.CrashReported -> "crash"
         is PeerMessage.ToShardOwner, is PeerMessage.ToClaimant -> "ledger"
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
@@ -90,15 +90,28 @@
         val service = parameters["service"]?.let(::ServiceName)?.takeIf { it in fleet.services }
             ?: return OperatorsAnswer.json(BAD_REQUEST, """{"error":"service must be a configured service"}""")
         val chat = parameters["chat"]?.let(::ChatId)
+            ?: return OperatorsAnswer.json(BAD_REQUEST, """{"error":"chat must be given"}""")
+        val view = state().view
+        val region = view.routers[view.self]?.region
+        val limits = fleet.preset.accountLimits[account] ?: fleet.accounts.getValue(account).limits
         return OperatorsAnswer.json(
             OK,
             buildJsonObject {
                 put("account", account.value)
                 put("service", service.value)
-                put("chat", chat?.value)
+                put("chat", chat.value)
                 put("preset", fleet.activePreset.value)
+                put("region", region?.value)
+                put("limits", limits.toString())
+                put("reason", "weighted rendezvous hash of the chat over the service's targets, own region first")
                 putJsonArray("order") {
-                    ChatPlacement.order(account, service, chat, fleet).forEach { add(it.value) }
+                    ChatPlacement.ofChat(account, service, chat, fleet, region).forEach { target ->
+                        addJsonObject {
+                            put("target", target.value)
+                            put("owner", TargetOwnership.ownerOf(target, view)?.value)
+                            put("inFlight", state().admission.inFlight(target))
+                        }
+                    }
                 }
             }.toString(),
         )
