Write the fuzz actions as named functions

Cause: a class per action made the test files longer than their content. Change: actions are a name and a function; the draws from the seed are the same.

--- a/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/FleetAction.kt
+++ b/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/FleetAction.kt
@@ -3,70 +3,55 @@
 import kotlin.random.Random
 import org.cicadaarch.model.Outcome
 
-/** One thing that a test does to a [LedgerFleet]. */
-internal sealed class FleetAction {
-    abstract fun applyTo(fleet: LedgerFleet)
+/** One thing that a test does to a [LedgerFleet]; [name] shows it in a failure. */
+internal class FleetAction private constructor(val name: String, val applyTo: (LedgerFleet) -> Unit) {
+    companion object {
+        private val ends = listOf(Outcome.COMPLETED, Outcome.MAY_HAVE_RUN)
 
-    data class Submit(val key: Int, val node: Int, val timeAllowed: Long) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) {
-            fleet.submit(key, node, timeAllowed)
-        }
-    }
+        fun random(random: Random): FleetAction = when (random.nextInt(100)) {
+            in 0 until 34 -> submit(random.nextInt(LedgerFleet.KEYS), node(random), random.nextLong(100, 5_000))
 
-    data class EndRun(val number: Int, val outcome: Outcome) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.endRun(number, outcome)
-    }
+            in 34 until 44 -> endRun(random.nextInt(100), ends.random(random))
 
-    data class Advance(val milliseconds: Long) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.advance(milliseconds)
-    }
+            in 44 until 66 -> advance(random.nextLong(1, 1_500))
 
-    data class Kill(val node: Int) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.kill(node)
-    }
+            in 66 until 68 -> advance(random.nextLong(20_000, 60_000))
 
-    data class Freeze(val node: Int, val milliseconds: Long) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.freeze(node, milliseconds)
-    }
+            in 68 until 71 -> node(random).let { node -> FleetAction("kill $node") { it.kill(node) } }
 
-    data class Cut(val one: Int, val other: Int, val milliseconds: Long) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.cut(one, other, milliseconds)
-    }
+            in 71 until 76 -> freeze(node(random), random.nextLong(100, 8_000))
 
-    data class LoseMessages(val percent: Int) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.loseMessages(percent)
-    }
+            in 76 until 80 -> cut(node(random), node(random), random.nextLong(100, 5_000))
 
-    data class Disagree(val node: Int, val known: Set<Int>) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.disagree(node, known)
-    }
+            in 80 until 83 -> random.nextInt(60).let { percent ->
+                FleetAction("lose $percent %") { it.loseMessages(percent) }
+            }
 
-    data class SetStore(val mode: FakeStore.Mode) : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) {
-            fleet.store.mode = mode
+            in 83 until 89 -> disagree(node(random), (0 until 4).filter { random.nextBoolean() }.toSet())
+
+            in 89 until 97 -> FakeStore.Mode.entries.random(random).let { mode ->
+                FleetAction("store $mode") { it.store.mode = mode }
+            }
+
+            else -> FleetAction("heal") { it.heal() }
         }
-    }
 
-    data object Heal : FleetAction() {
-        override fun applyTo(fleet: LedgerFleet) = fleet.heal()
-    }
+        private fun submit(key: Int, node: Int, timeAllowed: Long) =
+            FleetAction("submit key $key at $node for $timeAllowed ms") { it.submit(key, node, timeAllowed) }
 
-    companion object {
-        private val ends = listOf(Outcome.COMPLETED, Outcome.MAY_HAVE_RUN)
+        private fun endRun(number: Int, outcome: Outcome) =
+            FleetAction("end run $number as $outcome") { it.endRun(number, outcome) }
 
-        fun random(random: Random): FleetAction = when (random.nextInt(100)) {
-            in 0 until 34 -> Submit(random.nextInt(LedgerFleet.KEYS), node(random), random.nextLong(100, 5_000))
-            in 34 until 44 -> EndRun(random.nextInt(100), ends.random(random))
-            in 44 until 66 -> Advance(random.nextLong(1, 1_500))
-            in 66 until 68 -> Advance(random.nextLong(20_000, 60_000))
-            in 68 until 71 -> Kill(node(random))
-            in 71 until 76 -> Freeze(node(random), random.nextLong(100, 8_000))
-            in 76 until 80 -> Cut(node(random), node(random), random.nextLong(100, 5_000))
-            in 80 until 83 -> LoseMessages(random.nextInt(60))
-            in 83 until 89 -> Disagree(node(random), (0 until 4).filter { random.nextBoolean() }.toSet())
-            in 89 until 97 -> SetStore(FakeStore.Mode.entries.random(random))
-            else -> Heal
-        }
+        private fun advance(milliseconds: Long) = FleetAction("advance $milliseconds ms") { it.advance(milliseconds) }
+
+        private fun freeze(node: Int, milliseconds: Long) =
+            FleetAction("freeze $node for $milliseconds ms") { it.freeze(node, milliseconds) }
+
+        private fun cut(one: Int, other: Int, milliseconds: Long) =
+            FleetAction("cut $one from $other for $milliseconds ms") { it.cut(one, other, milliseconds) }
+
+        private fun disagree(node: Int, known: Set<Int>) =
+            FleetAction("let $node know only $known") { it.disagree(node, known) }
 
         private fun node(random: Random): Int = random.nextInt(LedgerFleet.ROUTERS)
     }
--- a/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/LedgerFuzzTest.kt
+++ b/cicadaarch-ledger/src/test/kotlin/org/cicadaarch/ledger/LedgerFuzzTest.kt
@@ -33,7 +33,7 @@
             .longs()
             .map { FleetAction.random(Random(it)) }
             .map { action ->
-                Transformer.mutate<Any>(action.toString()) { action.applyTo(it as LedgerFleet) }
+                Transformer.mutate<Any>(action.name) { action.applyTo(it as LedgerFleet) }
             }
     }
 
--- a/cicadaarch-orders/src/test/kotlin/org/cicadaarch/orders/OrdersAction.kt
+++ b/cicadaarch-orders/src/test/kotlin/org/cicadaarch/orders/OrdersAction.kt
@@ -2,67 +2,51 @@
 
 import kotlin.random.Random
 
-/** One thing that a test does to an [OrdersFleet]. */
-internal sealed class OrdersAction {
-    abstract fun applyTo(fleet: OrdersFleet)
+/** One thing that a test does to an [OrdersFleet]; [name] shows it in a failure. */
+internal class OrdersAction private constructor(val name: String, val applyTo: (OrdersFleet) -> Unit) {
+    companion object {
+        private val points = OrdersFleet.FreezePoint.entries
 
-    data class Advance(val milliseconds: Long) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.advance(milliseconds)
-    }
+        fun random(random: Random): OrdersAction = when (random.nextInt(100)) {
+            in 0 until 40 -> random.nextLong(1, 3_000).let { time ->
+                OrdersAction("advance $time ms") { it.advance(time) }
+            }
 
-    data class SwitchPreset(val number: Int) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.switchPreset(number)
-    }
+            in 40 until 60 -> random.nextInt(OrdersFleet.PRESETS.size).let { preset ->
+                OrdersAction("switch to preset $preset") { it.switchPreset(preset) }
+            }
 
-    data class Kill(val node: Int) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.kill(node)
-    }
+            in 60 until 64 -> node(random).let { node -> OrdersAction("kill $node") { it.kill(node) } }
 
-    data class Freeze(val node: Int, val milliseconds: Long) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.freeze(node, milliseconds)
-    }
+            in 64 until 69 -> freeze(node(random), random.nextLong(100, 15_000))
 
-    data class FreezeAtNextOrder(val point: OrdersFleet.FreezePoint, val milliseconds: Long) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.freezeAtNextOrder(point, milliseconds)
-    }
+            in 69 until 74 -> freezeAtNextOrder(points.random(random), random.nextLong(1_000, 15_000))
 
-    data class Disagree(val node: Int, val known: Set<Int>) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.disagree(node, known)
-    }
+            in 74 until 81 -> disagree(node(random), nodes(random))
 
-    data class RestartEngine(val number: Int) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.restartEngine(number)
-    }
+            in 81 until 85 -> random.nextInt(OrdersFleet.ENGINES).let { engine ->
+                OrdersAction("restart engine $engine") { it.restartEngine(engine) }
+            }
 
-    data class LoseAnswers(val percent: Int) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.loseAnswers(percent)
-    }
+            in 85 until 90 -> random.nextInt(90).let { percent ->
+                OrdersAction("lose $percent % of answers") { it.loseAnswers(percent) }
+            }
+
+            in 90 until 95 -> FakeLeaseStore.Mode.entries.random(random).let { mode ->
+                OrdersAction("store $mode") { it.store.mode = mode }
+            }
 
-    data class SetStore(val mode: FakeLeaseStore.Mode) : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) {
-            fleet.store.mode = mode
+            else -> OrdersAction("heal") { it.heal() }
         }
-    }
 
-    data object Heal : OrdersAction() {
-        override fun applyTo(fleet: OrdersFleet) = fleet.heal()
-    }
+        private fun freeze(node: Int, milliseconds: Long) =
+            OrdersAction("freeze $node for $milliseconds ms") { it.freeze(node, milliseconds) }
 
-    companion object {
-        private val points = OrdersFleet.FreezePoint.entries
+        private fun freezeAtNextOrder(point: OrdersFleet.FreezePoint, milliseconds: Long) =
+            OrdersAction("freeze $point for $milliseconds ms") { it.freezeAtNextOrder(point, milliseconds) }
 
-        fun random(random: Random): OrdersAction = when (random.nextInt(100)) {
-            in 0 until 40 -> Advance(random.nextLong(1, 3_000))
-            in 40 until 60 -> SwitchPreset(random.nextInt(OrdersFleet.PRESETS.size))
-            in 60 until 64 -> Kill(node(random))
-            in 64 until 69 -> Freeze(node(random), random.nextLong(100, 15_000))
-            in 69 until 74 -> FreezeAtNextOrder(points.random(random), random.nextLong(1_000, 15_000))
-            in 74 until 81 -> Disagree(node(random), nodes(random))
-            in 81 until 85 -> RestartEngine(random.nextInt(OrdersFleet.ENGINES))
-            in 85 until 90 -> LoseAnswers(random.nextInt(90))
-            in 90 until 95 -> SetStore(FakeLeaseStore.Mode.entries.random(random))
-            else -> Heal
-        }
+        private fun disagree(node: Int, known: Set<Int>) =
+            OrdersAction("let $node know only $known") { it.disagree(node, known) }
 
         private fun node(random: Random): Int = random.nextInt(OrdersFleet.ROUTERS)
 
--- a/cicadaarch-orders/src/test/kotlin/org/cicadaarch/orders/OrdersFuzzTest.kt
+++ b/cicadaarch-orders/src/test/kotlin/org/cicadaarch/orders/OrdersFuzzTest.kt
@@ -34,7 +34,7 @@
             .longs()
             .map { OrdersAction.random(Random(it)) }
             .map { action ->
-                Transformer.mutate<Any>(action.toString()) { action.applyTo(it as OrdersFleet) }
+                Transformer.mutate<Any>(action.name) { action.applyTo(it as OrdersFleet) }
             }
     }
 
