--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/OperatorsClient.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/OperatorsClient.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.control
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import java.io.IOException
@@ -24,7 +25,9 @@
     /** The status by all endpoints that answer, at least one. */
     fun status(): Either<ControlError, FleetStatus> {
         val answers = endpoints.associateWith { endpoint ->
-            exchange(endpoint, "/status", method = "GET").map { controlJson.decodeFromString<RouterStatus>(it) }
+            exchange(endpoint, "/status", method = "GET").flatMap { body ->
+                decoded(endpoint) { controlJson.decodeFromString<RouterStatus>(body) }
+            }
         }
         val reached = answers.values.mapNotNull { it.getOrNull() }
         val failures = answers.filterValues { it.isLeft() }
@@ -44,7 +47,7 @@
         }
         val failures = endpoints.map { endpoint ->
             val answer = exchange(endpoint, target, method = "GET")
-                .map { controlJson.parseToJsonElement(it).jsonObject }
+                .flatMap { body -> decoded(endpoint) { controlJson.parseToJsonElement(body).jsonObject } }
             if (answer.isRight() || answer.leftOrNull() is ControlError.Failed) return answer
             answer
         }
@@ -69,6 +72,12 @@
         ControlError.Unreachable("router at $endpoint", failure.message ?: failure.toString()).left()
     }
 
+    private fun <T> decoded(endpoint: String, decode: () -> T): Either<ControlError, T> = try {
+        decode().right()
+    } catch (failure: IllegalArgumentException) {
+        ControlError.Failed("$endpoint answered what cannot be read: ${failure.message}").left()
+    }
+
     private fun noAnswer(failures: Collection<Either<ControlError, *>>): Either<ControlError, Nothing> {
         val first = failures.firstNotNullOfOrNull { it.leftOrNull() }
         return (first ?: ControlError.Usage("no router is named: give --operators or CICADAARCH_OPERATORS")).left()
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ControlCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ControlCommand.kt
@@ -50,7 +50,12 @@
         private set
 
     override fun execute() {
-        report = Connections().use { connections -> run(connections).fold(ErrorReport::of) { it } }
+        val result = try {
+            Connections().use(::run)
+        } catch (failure: Exception) {
+            ControlError.Failed(failure.toString()).left()
+        }
+        report = result.fold(ErrorReport::of) { it }
     }
 
     protected abstract fun run(connections: Connections): Either<ControlError, Report>
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
@@ -105,6 +105,9 @@
         run(ExitCode.INVALID, "preset", "switch", "frost")
         run(ExitCode.FAILED, "drain", "--target", "hire-engine-99")
         run(ExitCode.UNREACHABLE, "status", "--operators", "127.0.0.1:1")
+        run(ExitCode.USAGE, "status", "--operators", " ")
+        run(ExitCode.FAILED, "status", "--operators", "not an address")
+        OperatorsStandIn { "<html>" }.use { run(ExitCode.FAILED, "status", "--operators", it.endpoint) }
         store.close()
         run(ExitCode.UNREACHABLE, "show")
     }
