--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/MembershipNetwork.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/MembershipNetwork.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.experiment.membership
 
+import java.lang.management.ManagementFactory
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -22,6 +23,7 @@
     private val observer: ViewObserver = ViewObserver { _, _, _, _ -> },
 ) {
     private val random = Random(seed)
+    private val threads = ManagementFactory.getThreadMXBean()
     private val queue = PriorityQueue<Occurrence>(compareBy<Occurrence>({ it.at }, { it.number }))
     private val nodes = linkedMapOf<RouterAddress, Slot>()
     private val cuts = mutableSetOf<Cut>()
@@ -118,9 +120,9 @@
     }
 
     private fun perform(slot: Slot, action: FleetNode<M>.() -> NodeOutput<M>) {
-        val before = System.nanoTime()
+        val before = threads.currentThreadCpuTime
         val output = slot.node.action()
-        traffic.worked(System.nanoTime() - before)
+        traffic.worked(threads.currentThreadCpuTime - before)
         output.datagrams.forEach { send(slot, it) }
         if (output.fetchesList) readList(slot)
     }
