--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -1,8 +1,10 @@
 package org.cicadaarch.experiment
 
 import kotlin.system.exitProcess
+import org.cicadaarch.experiment.benchmark.StreamBenchmark
 import org.cicadaarch.experiment.demonstration.DemonstrationExperiment
 import org.cicadaarch.experiment.demonstration.StandInsExperiment
+import org.cicadaarch.experiment.fuzz.FuzzExperiment
 import org.cicadaarch.experiment.ledger.LedgerExperiment
 import org.cicadaarch.experiment.membership.MembershipExperiment
 import org.cicadaarch.experiment.orders.OrdersExperiment
@@ -14,6 +16,8 @@
 private val experiments: List<Experiment> = listOf(
     DemonstrationExperiment(),
     StandInsExperiment(),
+    StreamBenchmark(),
+    FuzzExperiment(),
     LedgerExperiment(),
     PolicyExperiment(),
     MembershipExperiment(),
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
@@ -8,13 +8,13 @@
  * The time limits and budgets of an ingress.
  *
  * [permitTimeout] is how long an admission owner may take to answer, [roundPause] the wait before all targets are asked
- * again, [renewalInterval] the time between renewals of held permits, [progressTimeout] the longest silence of a target
- * before it is probed, [silenceLimit] the longest silence of a target whose request may not be repeated,
- * [resumeAllowance] the time in which a broken stream may be resumed. [retryRatio] is the retries
- * earned by each request and [retryReserve] the most that can be saved. [crashLimit] is the number of target crashes
- * after which a request is not run again, [lateAnswers] the owners that must foresee lateness before it is refused.
- * [queueCheck] is the grace after an expected wait before the owner is asked again, [unreachablePause] the time in which
- * a router that did not answer is not asked, [slowestTokenInterval] the longest time per token of a whole answer.
+ * again, [renewalInterval] the time between renewals of held permits. [progressTimeout] is the longest silence of a
+ * target before it is probed, [silenceLimit] the longest silence of a target whose request may not be repeated,
+ * [resumeAllowance] the time in which a broken stream may be resumed. [retryRatio] is the retries earned by each
+ * request and [retryReserve] the most that can be saved. [crashLimit] is the number of target crashes after which a
+ * request is not run again, [lateAnswers] the owners that must foresee lateness before it is refused. [queueCheck] is
+ * the grace after an expected wait before the owner is asked again, [unreachablePause] the time in which a router that
+ * did not answer is not asked, [slowestTokenInterval] the longest time per token of a whole answer.
  */
 data class IngressSettings(
     val permitTimeout: Duration = 250.milliseconds,
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -165,7 +165,8 @@
     /** Waits until [stop] is done. */
     fun awaitStopped() = stopped.await()
 
-    private fun isDrained(): Boolean = exchanges.openRequests == 0 && callers.openConnections == 0
+    private fun isDrained(): Boolean =
+        exchanges.openRequests == 0 && callers.openConnections == 0 && loop.state.claimant.claims.isEmpty()
 
     /** An owner corrects its count by what its targets report, so it reads only those that it owns. */
     private fun readLoads() {
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
@@ -40,9 +40,10 @@
         thread.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
+    /** After a pause there is one tick, not all the missed ones, so that the roles see how long the pause was. */
     private fun repeat(interval: Duration, event: () -> RouterEvent) {
         val milliseconds = interval.inWholeMilliseconds
-        thread.scheduleAtFixedRate({ reduce(event()) }, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
+        thread.scheduleWithFixedDelay({ reduce(event()) }, milliseconds, milliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun reduce(event: RouterEvent) {
