--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionReducer.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionReducer.kt
@@ -18,6 +18,7 @@
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.fleet.FleetDocument
+import org.cicadaarch.model.fleet.Target
 
 /**
  * Decides for the targets and load groups that this router is admission owner and load-mean aggregator of.
@@ -159,7 +160,7 @@
     }
 
     private fun countsSent(state: AdmissionState, now: Timestamp): Step<AdmissionState, AdmissionEffect> {
-        val due = state.targets.filter { (_, load) -> isCountDue(load, now) }.keys
+        val due = state.targets.filter { (id, load) -> isCountDue(load, state.fleet?.targets?.get(id), now) }.keys
         val fleet = state.fleet
         if (due.isEmpty() || fleet == null) return Step(state)
         val groups = due.groupBy { OwnedTargets.groupOf(fleet.targets.getValue(it), fleet) }
@@ -177,7 +178,7 @@
         return Step(sent, effects)
     }
 
-    private fun isCountDue(load: TargetLoad, now: Timestamp): Boolean {
+    private fun isCountDue(load: TargetLoad, target: Target?, now: Timestamp): Boolean {
         val sentAt = load.reportedAt ?: return true
         val sent = load.reported ?: return true
         val change = abs(load.carried - sent.inFlight) + abs(load.queue.size - sent.queued)
@@ -185,10 +186,16 @@
         return when {
             now - sentAt >= REPEATED_AFTER -> true
             now - sentAt >= RECOUNTED_AFTER -> change > 0 || load.blocked
-            else -> large || load.blocked || !load.queue.isEmpty
+            else -> large || hasRoomAgain(load, sent, target) || load.blocked || !load.queue.isEmpty
         }
     }
 
+    /** Whether a target that was counted as full has free slots, for which requests may wait elsewhere. */
+    private fun hasRoomAgain(load: TargetLoad, sent: TargetCount, target: Target?): Boolean {
+        val capacity = target?.capacity ?: return false
+        return sent.inFlight + sent.queued >= capacity && load.carried + load.queue.size < capacity
+    }
+
     private fun countOf(target: TargetId, load: TargetLoad) = TargetCount(target, load.carried, load.queue.size)
 
     private fun routersChanged(
