--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/AdmissionDispatcher.kt
@@ -142,9 +142,10 @@
         val waited = clock.now - search.turn.arrivedAt
         val demand = search.demand(fleet, (scenario.timeAllowed - waited).microseconds)
         search.unanswered = true
+        val number = ++search.asks
         sendToOwner(search.turn.router, target, AdmissionMessage.PermitRequest(search.attempt, target, demand))
         clock.schedule(clock.now + ANSWER_TIMEOUT) {
-            if (search.unanswered && search.asked == target && search.attempt in searches) ask(search, target)
+            if (search.unanswered && search.asks == number && search.attempt in searches) ask(search, target)
         }
     }
 
@@ -210,8 +211,12 @@
         }
     }
 
-    private fun retryLater(search: Search) = clock.schedule(clock.now + RETRY_PAUSE) {
-        if (search.attempt in searches) ask(search, search.asked)
+    private fun retryLater(search: Search) {
+        search.unanswered = false
+        val number = search.asks
+        clock.schedule(clock.now + RETRY_PAUSE) {
+            if (search.asks == number && search.attempt in searches) ask(search, search.asked)
+        }
     }
 
     private fun renew(router: Int) = held[router].values.groupBy { it.asked }.forEach { (target, held) ->
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Scenarios.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Scenarios.kt
@@ -8,7 +8,7 @@
     private const val MILLISECOND = MICROSECONDS_PER_MILLISECOND
 
     val all: List<Scenario> by lazy {
-        listOf(partnership(), partnershipSurge(), partnershipJoin(), guild(), guildChurn(), aim())
+        listOf(partnership(), partnershipSurge(), partnershipJoin(), partnershipSplit(), guild(), guildChurn(), aim())
     }
 
     private val partnershipEngine =
@@ -45,6 +45,11 @@
         churn = listOf(Churn.Join(150 * SECOND), Churn.Leave(250 * SECOND, engine = 2)),
     )
 
+    private fun partnershipSplit() = partnershipSurge().copy(
+        name = "frost-split",
+        churn = List(7) { Churn.ViewSplit((180L + 15 * it) * SECOND, until = (190L + 15 * it) * SECOND, router = it) },
+    )
+
     private fun guild() = Scenario(
         name = "guild",
         engines = 12,
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/policy/Search.kt
@@ -12,6 +12,7 @@
     val tried = LinkedHashSet<TargetId>()
     var asked: TargetId = order.first()
     var unanswered = false
+    var asks = 0
     var spills = 0
     var ranChat: TargetId? = null
     var late = 0
