Turn every failure to decode a peer's bytes into an error

Cause: PeerCodec.decode let through what the CBOR reader throws besides SerializationException: IllegalStateException (a length above the bytes at hand), NegativeArraySizeException, and StackOverflowError for a string of open length that is cut short. The last is no Exception, so PeerLinks.serve did not catch it, and as a child of the accepting coroutine it ended the peer listener.

Change: decode turns runtime exceptions and the stack overflow into PeerCodecError; connections are served as children of the supervisor, so that none of them can end the listener.

--- a/cicadaarch-protocol/src/main/kotlin/org/cicadaarch/protocol/PeerCodec.kt
+++ b/cicadaarch-protocol/src/main/kotlin/org/cicadaarch/protocol/PeerCodec.kt
@@ -4,7 +4,6 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -33,11 +32,11 @@
     /** The message in [bytes], or why they are none. */
     fun decode(bytes: ByteArray): Either<PeerCodecError, PeerMessage> = try {
         cbor.decodeFromByteArray<PeerMessage>(bytes).right()
-    } catch (exception: SerializationException) {
+    } catch (exception: RuntimeException) {
+        // The CBOR reader answers malformed bytes with exceptions of several kinds, not only SerializationException.
         PeerCodecError(exception.message ?: "not a message").left()
-    } catch (exception: IllegalArgumentException) {
-        PeerCodecError(exception.message ?: "not a message").left()
-    } catch (exception: IndexOutOfBoundsException) {
-        PeerCodecError(exception.message ?: "truncated message").left()
+    } catch (_: StackOverflowError) {
+        // The CBOR reader descends without end into a text or byte string of open length that is cut short.
+        PeerCodecError("strings nested too deep, or cut short").left()
     }
 }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
@@ -52,7 +52,7 @@
         scope.launch {
             while (true) {
                 val socket = listener.accept()
-                launch { serve(socket) }
+                scope.launch { serve(socket) }
             }
         }
     }
