Run scenarios on real router processes

Change: the experiment command 'scenario' starts stand-ins and seven router processes on loopback, kills, pauses, stops and restarts them while load runs, and judges callers' records against the targets' logs with OutcomeOracle. Seven scenario files; scripts/scenarios runs them. A balancer of its own asks /ready. The demonstration's client tells the request identity and failure, and its target stand-ins and chat body are now shared. Tests cover how records are made and that each file is bounded and expects every invariant.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -6,6 +6,7 @@
 import org.cicadaarch.experiment.ledger.LedgerExperiment
 import org.cicadaarch.experiment.membership.MembershipExperiment
 import org.cicadaarch.experiment.policy.PolicyExperiment
+import org.cicadaarch.experiment.processes.ScenarioExperiment
 
 private const val EXIT_USAGE = 2
 
@@ -15,6 +16,7 @@
     LedgerExperiment(),
     PolicyExperiment(),
     MembershipExperiment(),
+    ScenarioExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/CallerClient.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/CallerClient.kt
@@ -1,6 +1,8 @@
 package org.cicadaarch.experiment.demonstration
 
 import java.io.IOException
+import java.io.UncheckedIOException
+import java.net.ConnectException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -15,7 +17,9 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.Idempotency
 import org.cicadaarch.model.Outcome
+import org.cicadaarch.model.RequestId
 import org.cicadaarch.protocol.CallerHeaders
 
 /**
@@ -40,15 +44,23 @@
         }
     }
 
-    /** Makes one call of a plain service under the idempotency key [key]. */
-    fun call(address: String, account: AccountId, path: String, key: String, body: String): CallerAnswer {
+    /** Makes one call of a plain service: a `PUT` when it is idempotent, a `POST` with its key or none otherwise. */
+    fun call(address: String, account: AccountId, path: String, idempotency: Idempotency, body: String): CallerAnswer {
         val request = request(address, path, account)
-            .header(CallerHeaders.IDEMPOTENCY_KEY, key)
-            .POST(HttpRequest.BodyPublishers.ofString(body))
-            .build()
+        val content = HttpRequest.BodyPublishers.ofString(body)
+        when (idempotency) {
+            Idempotency.Idempotent -> request.PUT(content)
+            Idempotency.Keyless -> request.POST(content)
+            is Idempotency.Keyed -> request.header(CallerHeaders.IDEMPOTENCY_KEY, idempotency.key.value).POST(content)
+        }
         return send { begun ->
-            val response = client.send(request, HttpResponse.BodyHandlers.ofString())
-            CallerAnswer(outcomeOf(response), response.body(), System.currentTimeMillis() - begun)
+            val response = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+            CallerAnswer(
+                outcome = outcomeOf(response),
+                text = response.body().takeIf { response.statusCode() == STATUS_OK }.orEmpty(),
+                firstByteMilliseconds = System.currentTimeMillis() - begun,
+                request = requestOf(response),
+            )
         }
     }
 
@@ -60,22 +72,27 @@
 
     private fun send(exchange: (Long) -> CallerAnswer): CallerAnswer = try {
         exchange(System.currentTimeMillis())
-    } catch (_: IOException) {
-        CallerAnswer(outcome = null, text = "", firstByteMilliseconds = null)
+    } catch (_: ConnectException) {
+        CallerAnswer(outcome = null, text = "", firstByteMilliseconds = null, isSent = false)
+    } catch (exception: IOException) {
+        CallerAnswer(outcome = null, text = "", firstByteMilliseconds = null, failure = exception.toString())
     }
 
     private fun stream(response: HttpResponse<Stream<String>>, begun: Long): CallerAnswer {
         val answer = StreamedAnswer(begun)
         try {
             response.body().forEach(answer::line)
-        } catch (_: java.io.UncheckedIOException) {
-            return answer.result().copy(outcome = null)
+        } catch (exception: UncheckedIOException) {
+            return answer.result().copy(outcome = null, request = requestOf(response), failure = exception.toString())
         }
-        return answer.result()
+        return answer.result().copy(request = requestOf(response))
     }
 
     private fun refusal(response: HttpResponse<*>): CallerAnswer =
-        CallerAnswer(outcomeOf(response), text = "", firstByteMilliseconds = null)
+        CallerAnswer(outcomeOf(response), text = "", firstByteMilliseconds = null, request = requestOf(response))
+
+    private fun requestOf(response: HttpResponse<*>): RequestId? =
+        response.headers().firstValue(CallerHeaders.REQUEST).map(::RequestId).orElse(null)
 
     private fun outcomeOf(response: HttpResponse<*>): Outcome? =
         response.headers().firstValue(CallerHeaders.OUTCOME).map(::outcomeOf).orElse(null)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/Callers.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/Callers.kt
@@ -5,12 +5,9 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
-import kotlinx.serialization.json.add
-import kotlinx.serialization.json.addJsonObject
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonArray
 import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.Idempotency
+import org.cicadaarch.model.IdempotencyKey
 import org.cicadaarch.model.Outcome
 import org.cicadaarch.testkit.AnswerText
 
@@ -87,7 +84,7 @@
             val key = "booking-$number-$turn"
             val path = "/services/${deployment.plainService}/bookings"
             val (answer, sends) = untilRun { address ->
-                client.call(address, account, path, key, """{"booking":"$key"}""")
+                client.call(address, account, path, Idempotency.Keyed(IdempotencyKey(key)), """{"booking":"$key"}""")
             }
             return Operation(
                 kind = OperationKind.BOOKING,
@@ -111,19 +108,7 @@
             return answer to sends
         }
 
-        private fun body(): String = buildJsonObject {
-            put("model", deployment.model)
-            put("stream", true)
-            put("max_tokens", OUTPUT_TOKENS)
-            putJsonArray("messages") {
-                messages.forEach { (role, content) ->
-                    addJsonObject {
-                        put("role", role)
-                        put("content", content)
-                    }
-                }
-            }
-        }.toString()
+        private fun body(): String = ChatBody.of(deployment.model, messages, OUTPUT_TOKENS)
 
         private fun words(count: Int): String =
             (1..count).joinToString(separator = " ") { random.nextInt(WORD_RANGE).toString(radix = 36) }
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/ControlClient.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/ControlClient.kt
@@ -6,10 +6,12 @@
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
+import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.cicadaarch.model.fleet.Target
 import org.cicadaarch.testkit.EngineLoad
 import org.cicadaarch.testkit.RunRecord
+import org.cicadaarch.testkit.TargetFault
 
 /**
  * Reads the logs of the stand-ins and the operators' endpoints of the routers.
@@ -46,6 +48,18 @@
         client.send(request, HttpResponse.BodyHandlers.discarding())
     }
 
+    /** Puts [target] under [fault]. */
+    fun setFault(target: Target, fault: TargetFault) = setFault(controlAddress(target), Json.encodeToString(fault))
+
+    /** Puts the stand-in with the control address [address] under [fault], a JSON object. */
+    fun setFault(address: String, fault: String) {
+        val request = HttpRequest.newBuilder(URI.create("http://$address/fault"))
+            .POST(HttpRequest.BodyPublishers.ofString(fault))
+            .build()
+        val response = client.send(request, HttpResponse.BodyHandlers.discarding())
+        check(response.statusCode() == STATUS_OK) { "$address refused the fault $fault" }
+    }
+
     private fun controlAddress(target: Target): String {
         val port = target.address.substringAfterLast(':').toInt() + StandInsExperiment.CONTROL_PORT_OFFSET
         return target.address.substringBeforeLast(':') + ":$port"
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/StandInsExperiment.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/StandInsExperiment.kt
@@ -6,12 +6,6 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.cicadaarch.experiment.Experiment
-import org.cicadaarch.model.fleet.FleetDocument
-import org.cicadaarch.model.fleet.ServiceKind
-import org.cicadaarch.testkit.EngineOptions
-import org.cicadaarch.testkit.EngineStandIn
-import org.cicadaarch.testkit.PlainServiceOptions
-import org.cicadaarch.testkit.PlainServiceStandIn
 import org.cicadaarch.testkit.StoreStandIn
 import org.cicadaarch.testkit.VirtualMachineListStandIn
 
@@ -37,38 +31,12 @@
         parser.parse(arguments.toTypedArray())
         StoreStandIn(storePort, storePort + CONTROL_PORT_OFFSET)
         VirtualMachineListStandIn(listPort, listPort + CONTROL_PORT_OFFSET, LIST_LAG_MILLISECONDS.milliseconds)
-        startTargets(DemonstrationFleet.read(documents.split(',')), decodeInterval)
+        TargetStandIns.start(DemonstrationFleet.read(documents.split(',')), decodeInterval)
         println("event=stand-ins-listening store=$storePort vmList=$listPort")
         CountDownLatch(1).await()
         return 0
     }
 
-    private fun startTargets(fleet: FleetDocument, decodeInterval: Int) = fleet.targets.values.forEach { target ->
-        val port = target.address.substringAfterLast(':').toInt()
-        when (fleet.services.getValue(target.service).kind) {
-            ServiceKind.MODEL -> EngineStandIn(
-                port = port,
-                controlPort = port + CONTROL_PORT_OFFSET,
-                options = EngineOptions(
-                    slots = target.capacity,
-                    decodeInterval = decodeInterval.milliseconds,
-                    loadLag = LOAD_LAG_MILLISECONDS.milliseconds,
-                    checksFencing = target.checksFencing,
-                ),
-            )
-
-            ServiceKind.PLAIN -> PlainServiceStandIn(
-                port = port,
-                controlPort = port + CONTROL_PORT_OFFSET,
-                options = PlainServiceOptions(
-                    service = target.service.value,
-                    answerDelay = PLAIN_ANSWER_MILLISECONDS.milliseconds,
-                    deduplicates = target.deduplicates,
-                ),
-            )
-        }
-    }
-
     companion object {
         /** What is added to a stand-in's port to get the port of its faults and logs. */
         const val CONTROL_PORT_OFFSET = 10_000
@@ -76,8 +44,6 @@
         private const val STORE_PORT = 17_301
         private const val LIST_PORT = 17_302
         private const val DECODE_INTERVAL_MILLISECONDS = 10
-        private const val PLAIN_ANSWER_MILLISECONDS = 30
-        private const val LOAD_LAG_MILLISECONDS = 200
         private const val LIST_LAG_MILLISECONDS = 1_000
     }
 }
