--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -10,6 +10,7 @@
 import org.cicadaarch.experiment.orders.OrdersExperiment
 import org.cicadaarch.experiment.policy.PolicyExperiment
 import org.cicadaarch.experiment.policy.QuotaExperiment
+import org.cicadaarch.experiment.processes.ScenarioExperiment
 
 private const val EXIT_USAGE = 2
 
@@ -23,6 +24,7 @@
     MembershipExperiment(),
     OrdersExperiment(),
     QuotaExperiment(),
+    ScenarioExperiment(),
 )
 
 /** Runs the experiment that the first argument names. */
