--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterReducer.kt
@@ -81,6 +81,7 @@
         transition.reduceConfiguration(ConfigurationEvent.Tick)
         transition.reduceClaimant(ClaimantEvent.Tick)
         transition.reduceQuota(QuotaEvent.Tick)
+        transition.retryLimited()
         transition.reduceAdmission(AdmissionEvent.Tick)
         transition.reduceIngress(IngressEvent.Tick)
         transition.reduceOrders(OrdersEvent.Tick)
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterState.kt
@@ -16,8 +16,10 @@
 import org.cicadaarch.request.IngressState
 
 /**
- * Everything that a router knows, as the states of its roles. [accounts] are those of the open requests that count
- * against their accounts' limits.
+ * Everything that a router knows, as the states of its roles.
+ *
+ * [accounts] are those of the open requests that count against their accounts' limits; [limited] are the requests that
+ * wait until such a limit allows them.
  */
 data class RouterState(
     val view: RouterView,
@@ -30,5 +32,6 @@
     val quota: QuotaState,
     val orders: OrdersState,
     val accounts: PersistentMap<RequestId, AccountId> = persistentMapOf(),
+    val limited: PersistentMap<RequestId, LimitedRequest> = persistentMapOf(),
     val revision: Revision = Revision.NONE,
 )
--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
@@ -98,21 +98,48 @@
 
     /** An event from the process around the reducer; a new request must be within its account's limits. */
     fun callerEvent(event: IngressEvent) {
-        if (event !is IngressEvent.Arrived) return reduceIngress(event)
-        val head = event.head
+        when {
+            event is IngressEvent.Arrived -> admit(event.head, arrivedAt = now)
+            event is IngressEvent.CallerGone && event.request in state.limited -> refuseLimited(event.request)
+            else -> reduceIngress(event)
+        }
+    }
+
+    /** Tries the requests again that a limit of their account held back. */
+    fun retryLimited() = state.limited.values.filter { it.retryAt <= now }.forEach { admit(it.head, it.arrivedAt) }
+
+    /** Lets a request in, holds it back while its account's limit allows no more, or refuses it at its deadline. */
+    private fun admit(head: RequestHead, arrivedAt: Timestamp) {
         val tokens = head.promptTokens + head.outputTokens
         val verdict = roles.quota.mayStart(state.quota, head.account, tokens, now)
         val isAllowed = verdict is QuotaVerdict.Allowed
-        reduceQuota(QuotaEvent.Offered(head.account, tokens, admitted = isAllowed))
-        if (isAllowed) {
-            state = state.copy(accounts = state.accounts.put(head.id, head.account))
-            reduceIngress(event)
-        } else {
-            val end = IngressEffect.EndRequest(head.id, Outcome.NOT_RUN, RefusalReason.ACCOUNT_LIMIT)
-            effects += RouterEffect.Ingress(end)
+        val isFirstTry = head.id !in state.limited
+        if (isAllowed || isFirstTry) reduceQuota(QuotaEvent.Offered(head.account, tokens, admitted = isAllowed))
+        when (verdict) {
+            is QuotaVerdict.Allowed -> {
+                state = state.copy(
+                    accounts = state.accounts.put(head.id, head.account),
+                    limited = state.limited.remove(head.id),
+                )
+                val waited = now - arrivedAt
+                reduceIngress(IngressEvent.Arrived(head.copy(timeAllowed = head.timeAllowed - waited)))
+            }
+
+            is QuotaVerdict.Limited -> if (now + verdict.retryAfter < arrivedAt + head.timeAllowed) {
+                val held = LimitedRequest(head, arrivedAt, retryAt = now + verdict.retryAfter)
+                state = state.copy(limited = state.limited.put(head.id, held))
+            } else {
+                refuseLimited(head.id)
+            }
         }
     }
 
+    private fun refuseLimited(request: RequestId) {
+        state = state.copy(limited = state.limited.remove(request))
+        val end = IngressEffect.EndRequest(request, Outcome.NOT_RUN, RefusalReason.ACCOUNT_LIMIT)
+        effects += RouterEffect.Ingress(end)
+    }
+
     fun reduceIngress(event: IngressEvent) {
         val step = roles.ingress.reduce(state.ingress, event, now)
         state = state.copy(ingress = step.state)
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressReducer.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressReducer.kt
@@ -102,8 +102,8 @@
                     search.spilled(request, message)
                 }
 
-                is AdmissionMessage.PermitRefused -> transition.seeking(message.attempt)?.let { (request, _) ->
-                    search.refused(request, message)
+                is AdmissionMessage.PermitRefused -> transition.seeking(message.attempt)?.let { (request, seeking) ->
+                    search.refused(request, seeking, message.reason)
                 }
 
                 else -> Unit
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
@@ -11,7 +11,7 @@
  *
  * [attempts] counts permit requests, [started] the attempts that were offered to a target without proof that they did
  * not run. [spills] and [lateAnswers] count the owners of this round that sent the request on, or foresaw that it would
- * be late. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
+ * be late; [ranChatOn] is the target that an owner named as the one that ran the chat before. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
  */
 data class OpenRequest(
     val head: RequestHead,
@@ -23,6 +23,7 @@
     val started: Int = 0,
     val spills: Int = 0,
     val lateAnswers: Int = 0,
+    val ranChatOn: TargetId? = null,
     val delivered: Int = 0,
     val answerBegun: Boolean = false,
 ) {
@@ -43,5 +44,6 @@
         home = target == home,
         returning = (head.turn ?: 1) > 1,
         spills = spills,
+        ranChat = target == ranChatOn,
     )
 }
--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/PermitSearch.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/PermitSearch.kt
@@ -63,13 +63,19 @@
         val rest = if (message.roomLeft) request.candidates + message.target else request.candidates
         val hint = message.hint?.takeIf { it in rest }
         val candidates = listOfNotNull(hint) + rest.filter { it != hint }
-        askNext(request.copy(candidates = candidates, spills = request.spills + 1))
+        askNext(
+            request.copy(
+                candidates = candidates,
+                spills = request.spills + 1,
+                ranChatOn = hint.takeIf { message.hintRanChat },
+            ),
+        )
     }
 
     /** Goes on to the next candidate, or ends the request when enough owners foresee that it would be late. */
-    fun refused(request: OpenRequest, message: AdmissionMessage.PermitRefused) = when (message.reason) {
+    fun refused(request: OpenRequest, seeking: Seeking, reason: PermitRefusal) = when (reason) {
         PermitRefusal.LATE -> late(request.copy(lateAnswers = request.lateAnswers + 1))
-        PermitRefusal.NOT_OWNER -> pause(request.copy(candidates = listOf(message.target) + request.candidates))
+        PermitRefusal.NOT_OWNER -> notOwner(request, seeking)
         PermitRefusal.TARGET_GONE, PermitRefusal.QUEUE_FULL -> askNext(request)
     }
 
@@ -110,6 +116,15 @@
         }
     }
 
+    /** Where two routers' views differ, asking the same owner again would only wait for the views to agree. */
+    private fun notOwner(request: OpenRequest, seeking: Seeking) {
+        if (transition.ownerOf(seeking.target) == seeking.owner) {
+            useLocalBudget(request, seeking)
+        } else {
+            ask(request, seeking.target)
+        }
+    }
+
     private fun late(request: OpenRequest) {
         if (request.lateAnswers >= settings.lateAnswers) {
             transition.endUnanswered(request, RefusalReason.LATE)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -145,7 +145,10 @@
 
     /** Shuts down gracefully: takes no new connections and waits for the open requests, up to the drain timeout. */
     fun stop() {
-        if (!stopping.compareAndSet(false, true)) return
+        if (!stopping.compareAndSet(false, true)) {
+            stopped.await()
+            return
+        }
         LogEvents.info("router-draining") { "openRequests" to exchanges.openRequests }
         loop.submit(RouterEvent.Membership(MembershipEvent.LeaveRequested))
         callers.drain()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerConnection.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerConnection.kt
@@ -127,6 +127,10 @@
         busy = false
         exchange = null
         if (!keepOpen || gone) return
+        if (isDraining() && waiting.isEmpty()) {
+            context.close()
+            return
+        }
         while (!busy && waiting.isNotEmpty()) process(context, waiting.removeFirst())
         if (waiting.isEmpty()) context.channel().config().isAutoRead = true
     }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
@@ -181,7 +181,7 @@
             when {
                 isStale() -> Unit
                 rejected -> fail(AttemptFailure.Rejected(checkNotNull(response).status().code()))
-                splitter != null && !doneSeen -> fail(AttemptFailure.ConnectionLost)
+                isTruncated() -> fail(AttemptFailure.ConnectionLost)
                 else -> submit(IngressEvent.AttemptCompleted(attempt))
             }
         }
@@ -197,6 +197,7 @@
                 if (held.isReadable) caller.write(held.readRetainedSlice(held.readableBytes()))
                 caller.finish(closingEvent(Outcome.COMPLETED, reason = null, attempt = attempt))
             } else {
+                observer.onAnswerBegun(request.head)
                 if (kind == ServiceKind.MODEL) PromptUsage.find(held)?.let { observer.onUsage(request.head, it) }
                 caller.whole(head.status(), answerHeaders(head, Outcome.COMPLETED), held.retainedDuplicate())
             }
@@ -215,6 +216,9 @@
             submit(IngressEvent.AttemptFailed(attempt, failure, delivered))
         }
 
+        /** Model engines end each stream with a mark of its own; other streams end with their connection. */
+        private fun isTruncated(): Boolean = kind == ServiceKind.MODEL && splitter != null && !doneSeen
+
         private fun isStale(): Boolean {
             if (current === this && !ended) return false
             observer.onStaleAnswer(attempt)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/EffectRunner.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/EffectRunner.kt
@@ -15,6 +15,7 @@
 import org.cicadaarch.orders.OrdersEvent
 import org.cicadaarch.platform.Store
 import org.cicadaarch.platform.VirtualMachineList
+import org.cicadaarch.request.AttemptFailure
 import org.cicadaarch.request.IngressEffect
 import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.router.caller.ExchangeRegistry
@@ -65,9 +66,7 @@
 
     private fun run(effect: IngressEffect) {
         when (effect) {
-            is IngressEffect.StartAttempt -> addressOf(effect.target)?.let {
-                exchanges.startAttempt(effect.attempt, it, effect.resumeAfter)
-            }
+            is IngressEffect.StartAttempt -> startAttempt(effect)
 
             is IngressEffect.CancelAttempt -> exchanges.withExchange(effect.attempt.request) {
                 it.cancelAttempt(effect.attempt)
@@ -87,6 +86,16 @@
         }
     }
 
+    private fun startAttempt(effect: IngressEffect.StartAttempt) {
+        val address = addressOf(effect.target)
+        if (address == null) {
+            val failed = IngressEvent.AttemptFailed(effect.attempt, AttemptFailure.NotConnected, effect.resumeAfter)
+            submit(RouterEvent.Ingress(failed))
+        } else {
+            exchanges.startAttempt(effect.attempt, address, effect.resumeAfter)
+        }
+    }
+
     private fun probe(effect: IngressEffect.ProbeTarget) {
         val answer = { alive: Boolean ->
             submit(RouterEvent.Ingress(IngressEvent.ProbeAnswered(effect.attempt, alive)))
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
@@ -25,7 +25,7 @@
  * [KEEP_ALIVE_PROBES] probes of [KEEP_ALIVE_INTERVAL_SECONDS].
  */
 class TargetClient {
-    private val idleConnections = ConcurrentHashMap<ConnectionKey, ConcurrentLinkedDeque<Channel>>()
+    private val idleConnections = ConcurrentHashMap<ConnectionKey, ConcurrentLinkedDeque<IdleConnection>>()
 
     /** Sends [request] on [eventLoop] and reports the answer to [listener] there. */
     fun send(eventLoop: EventLoop, request: TargetRequest, listener: TargetAnswerListener): TargetCall {
@@ -35,15 +35,7 @@
         if (kept == null) {
             connect(key, request, call, listener)
         } else {
-            exchange(
-                kept,
-                key,
-                request,
-                call,
-                RetryOnKeptConnection(listener) {
-                    connect(key, request, call, listener)
-                },
-            )
+            exchange(kept, key, request, call, listener)
         }
         return call
     }
@@ -51,8 +43,9 @@
     private fun takeIdle(key: ConnectionKey): Channel? {
         val idle = idleConnections[key] ?: return null
         while (true) {
-            val channel = idle.pollLast() ?: return null
-            if (channel.isActive) return channel
+            val connection = idle.pollLast() ?: return null
+            if (connection.channel.isActive && connection.isFresh()) return connection.channel
+            connection.channel.close()
         }
     }
 
@@ -109,17 +102,30 @@
 
     private fun keep(key: ConnectionKey, channel: Channel) {
         val idle = idleConnections.computeIfAbsent(key) { ConcurrentLinkedDeque() }
-        if (idle.size < MAXIMUM_IDLE_CONNECTIONS) idle.addLast(channel) else channel.close()
-        channel.closeFuture().addListener { idle.remove(channel) }
+        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS) {
+            channel.close()
+            return
+        }
+        val connection = IdleConnection(channel, System.nanoTime())
+        idle.addLast(connection)
+        channel.closeFuture().addListener { idle.remove(connection) }
     }
 
     private data class ConnectionKey(val eventLoop: EventLoop, val address: RouterAddress)
 
+    /** A connection that has been idle since [since], in nanoseconds of the monotonic clock. */
+    private class IdleConnection(val channel: Channel, private val since: Long) {
+        fun isFresh(): Boolean = System.nanoTime() - since < MAXIMUM_IDLE_NANOSECONDS
+    }
+
     private companion object {
         const val CONNECT_TIMEOUT_MILLISECONDS = 1_000
         const val KEEP_ALIVE_IDLE_SECONDS = 2
         const val KEEP_ALIVE_INTERVAL_SECONDS = 1
         const val KEEP_ALIVE_PROBES = 3
         const val MAXIMUM_IDLE_CONNECTIONS = 64
+
+        /** Less than servers usually keep idle connections, so that few requests meet one that is being closed. */
+        const val MAXIMUM_IDLE_NANOSECONDS = 4_000_000_000L
     }
 }
--- a/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StandInServer.kt
+++ b/cicadaarch-testkit/src/main/kotlin/org/cicadaarch/testkit/StandInServer.kt
@@ -68,6 +68,7 @@
 
     // The event loops' own shutdown may leave a listener open in the kernel.
     override fun close() {
+        if (eventLoopGroup.isShuttingDown) return
         listOf(listener, controlListener).forEach { it.close().syncUninterruptibly() }
         eventLoopGroup.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS).syncUninterruptibly()
     }
