--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/ControlClient.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/ControlClient.kt
@@ -18,7 +18,10 @@
  */
 internal class ControlClient {
     private val client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(TIMEOUT_SECONDS)).build()
-    private val json = Json { ignoreUnknownKeys = true }
+    private val json = Json {
+        ignoreUnknownKeys = true
+        explicitNulls = false
+    }
 
     /** What [target] ran. */
     fun runs(target: Target): List<RunRecord> = json.decodeFromString(checkNotNull(get(controlAddress(target), "/ran")))
