--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/PeerMessage.kt
@@ -2,10 +2,12 @@
 
 import kotlinx.serialization.Serializable
 import org.cicadaarch.admission.AdmissionMessage
+import org.cicadaarch.configuration.spread.ConfigurationMessage
 import org.cicadaarch.ledger.LedgerMessage
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Fingerprint
 import org.cicadaarch.model.RouterId
+import org.cicadaarch.quota.QuotaMessage
 
 /**
  * A message from one router to another. Delivery may fail, repeat or reorder; the roles allow for it.
@@ -32,6 +34,14 @@
     @Serializable
     data class ToClaimant(val message: LedgerMessage.ForIngress) : PeerMessage()
 
+    /** Between an ingress and the quota owner of a client account. */
+    @Serializable
+    data class ToQuota(val message: QuotaMessage) : PeerMessage()
+
+    /** From the configuration of one router to that of another. */
+    @Serializable
+    data class ToConfiguration(val message: ConfigurationMessage) : PeerMessage()
+
     /** To every ingress: [attempt] of a request with [fingerprint] ended with its target's connection. */
     @Serializable
     data class CrashReported(val fingerprint: Fingerprint, val attempt: AttemptId) : PeerMessage()
