--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/OpenRequest.kt
@@ -10,8 +10,9 @@
  * A request that its ingress has not finished.
  *
  * [attempts] counts permit requests, [started] the attempts that were offered to a target without proof that they did
- * not run. [spills] and [lateAnswers] count the owners of this round that sent the request on, or foresaw that it would
- * be late; [ranChatOn] is the target that an owner named as the one that ran the chat before. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked.
+ * not run. [delivered] counts stream events that the caller has. [candidates] are the targets still to be asked in this
+ * round, [spills] and [lateAnswers] the owners of this round that sent the request on, or foresaw that it would be
+ * late. [ranChatOn] is the target that an owner named as the one that ran the chat before.
  */
 data class OpenRequest(
     val head: RequestHead,
