--- a/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
+++ b/cicadaarch-request/src/main/kotlin/org/cicadaarch/request/IngressSettings.kt
@@ -13,8 +13,8 @@
  * [resumeAllowance] the time in which a broken stream may be resumed. [retryRatio] is the retries
  * earned by each request and [retryReserve] the most that can be saved. [crashLimit] is the number of target crashes
  * after which a request is not run again, [lateAnswers] the owners that must foresee lateness before it is refused.
- * [queueCheck] is the grace after an expected wait before the owner is asked again, [unreachablePause] the time in which
- * a router that did not answer is not asked, [slowestTokenInterval] the longest time per token of a whole answer.
+ * [queueCheck] is the grace after an expected wait before the owner is asked again, [unreachablePause] the time in
+ * which a router that did not answer is not asked, [slowestTokenInterval] the longest time per token of a whole answer.
  */
 data class IngressSettings(
     val permitTimeout: Duration = 250.milliseconds,
