Refuse request bodies that are nested too deep

Cause: the JSON reader descends by recursion when it reads from a stream. A body of 30,000 nested lists overflowed the stack on the caller's event loop; the caller got no answer, and its connection stayed open and busy.

Change: bodies nested deeper than 128 levels are answered with 400 bad-json before they are parsed.

--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerRequestParser.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerRequestParser.kt
@@ -184,14 +184,21 @@
 
     @OptIn(ExperimentalSerializationApi::class)
     private fun jsonOf(body: ByteBuf): Either<CallerError, JsonObject> = try {
-        when (val json = Json.decodeFromStream<JsonElement>(ByteBufInputStream(body.duplicate()))) {
-            is JsonObject -> json.right()
-            else -> badRequest("bad-json", "the body must be a JSON object").left()
+        when {
+            JsonNesting.depth(body) > MAXIMUM_NESTING ->
+                badRequest("bad-json", "the body is nested deeper than $MAXIMUM_NESTING levels").left()
+
+            else -> objectOf(Json.decodeFromStream<JsonElement>(ByteBufInputStream(body.duplicate())))
         }
     } catch (exception: SerializationException) {
         badRequest("bad-json", "the body is not JSON: ${exception.message?.lineSequence()?.firstOrNull()}").left()
     }
 
+    private fun objectOf(json: JsonElement): Either<CallerError, JsonObject> = when (json) {
+        is JsonObject -> json.right()
+        else -> badRequest("bad-json", "the body must be a JSON object").left()
+    }
+
     private fun tokensIn(messages: JsonArray): Int {
         val characters = messages.sumOf { message ->
             when (val content = (message as? JsonObject)?.get("content")) {
@@ -234,6 +241,9 @@
         const val MAXIMUM_NAME_LENGTH = 200
         const val MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000L
         const val CHARACTERS_PER_TOKEN = 4
+
+        /** The JSON reader descends by recursion, so deeper bodies would overflow the stack. */
+        const val MAXIMUM_NESTING = 128
         const val DEFAULT_OUTPUT_TOKENS = 256
         val IDEMPOTENT_METHODS = setOf(
             HttpMethod.GET,
