Let the balancer see a stopping router before it closes its listener

Ruled out: a request cut off in flight (nothing ran for it, no open request). Change: a stopping router answers /ready with 503 at once, serves for the drain notice (3 s by default) with connection: close, then closes its listener. Conclusion: the race between balancer and listener is bounded by the notice.

--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -117,6 +117,7 @@
         metrics = metrics,
         openRequests = { exchanges.openRequests },
         statusWanted = { loop.submit(RouterEvent.Configuration(ConfigurationEvent.StatusWanted)) },
+        isDraining = { stopping.get() },
         drain = { Thread(::stop, "drain").start() },
     )
     private val operators = OperatorsServer(settings.operatorsAddress, eventLoops, operatorsApi::answer)
@@ -143,7 +144,10 @@
         }
     }
 
-    /** Shuts down gracefully: takes no new connections and waits for the open requests, up to the drain timeout. */
+    /**
+     * Shuts down gracefully: tells the balancer for the drain notice that it is not ready while it still serves, then
+     * takes no new connections and waits for the open requests, up to the drain timeout.
+     */
     fun stop() {
         if (!stopping.compareAndSet(false, true)) {
             stopped.await()
@@ -151,6 +155,8 @@
         }
         LogEvents.info("router-draining") { "openRequests" to exchanges.openRequests }
         loop.submit(RouterEvent.Membership(MembershipEvent.LeaveRequested))
+        callers.announceDrain()
+        Thread.sleep(settings.drainNotice.inWholeMilliseconds)
         callers.drain()
         val deadline = System.nanoTime() + settings.drainTimeout.inWholeNanoseconds
         while (!isDrained() && System.nanoTime() < deadline) Thread.sleep(DRAIN_POLL_MILLISECONDS)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
@@ -55,6 +55,11 @@
             .channel()
     }
 
+    /** Answers from now on tell callers to close their connections. */
+    fun announceDrain() {
+        draining = true
+    }
+
     /**
      * Stops accepting connections. Open ones end after the request that they carry, idle ones after a grace in which a
      * request that is already under way still gets its answer.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsApi.kt
@@ -21,6 +21,7 @@
     private val metrics: RouterMetrics,
     private val openRequests: () -> Int,
     private val statusWanted: () -> Unit,
+    private val isDraining: () -> Boolean,
     private val drain: () -> Unit,
 ) {
     /** The answer to one request. */
@@ -45,7 +46,7 @@
 
     private fun ready(): OperatorsAnswer {
         val current = state()
-        val ready = current.ingress.fleet != null && current.view.routers[current.view.self]?.leaving != true
+        val ready = current.ingress.fleet != null && !isDraining()
         return OperatorsAnswer.json(if (ready) OK else UNAVAILABLE, """{"ready":$ready}""")
     }
 
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/RouterSettings.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/RouterSettings.kt
@@ -17,6 +17,7 @@
     val storeAddress: RouterAddress,
     val vmListAddress: RouterAddress,
     val traceEndpoint: String?,
+    val drainNotice: Duration,
     val drainTimeout: Duration,
     val maximumConnections: Int,
     val maximumHeadBytes: Int,
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
@@ -41,6 +41,7 @@
                 storeAddress = address(STORE),
                 vmListAddress = address(VM_LIST),
                 traceEndpoint = values[TRACE_ENDPOINT],
+                drainNotice = duration(DRAIN_NOTICE),
                 drainTimeout = duration(DRAIN_TIMEOUT),
                 maximumConnections = number(MAXIMUM_CONNECTIONS, 1..MOST_CONNECTIONS),
                 maximumHeadBytes = number(MAXIMUM_HEAD_BYTES, LEAST_HEAD_BYTES..MOST_HEAD_BYTES),
@@ -91,6 +92,11 @@
         private val STORE = SettingOption("store", "the platform's key-value service, host:port")
         private val VM_LIST = SettingOption("vm-list", "the platform's list of VMs, host:port")
         private val TRACE_ENDPOINT = SettingOption("trace-endpoint", "URL for OTLP over HTTP; off when unset")
+        private val DRAIN_NOTICE = SettingOption(
+            "drain-notice",
+            "time in which a stopping router is not ready but still serves, for the balancer to see",
+            default = "3s",
+        )
         private val DRAIN_TIMEOUT = SettingOption("drain-timeout", "longest graceful shutdown", default = "30s")
         private val MAXIMUM_CONNECTIONS =
             SettingOption("maximum-connections", "callers' connections at once", default = "20000")
@@ -109,6 +115,7 @@
             STORE,
             VM_LIST,
             TRACE_ENDPOINT,
+            DRAIN_NOTICE,
             DRAIN_TIMEOUT,
             MAXIMUM_CONNECTIONS,
             MAXIMUM_HEAD_BYTES,
