Shorten the names in messages between routers and find owners in one pass

Finding an owner among 360 routers computed each score twice and allocated 190 KB. Change: short names on the wire, lists of known length; one pass over the routers.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/AdmissionMessage.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.admission
 
 import kotlin.time.Duration
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.AttemptId
@@ -8,23 +9,37 @@
 import org.cicadaarch.model.TargetId
 
 /**
- * Messages between the ingress of a request, the admission owner of a target and the load-mean aggregator.
+ * Messages between the ingress of a request, the admission owner of a target and the load-mean aggregator. Names are
+ * short on the wire, where they make up most of a message.
  */
 @Serializable
 sealed class AdmissionMessage {
     /** Ingress to owner: asks to run [attempt] on [target]. */
     @Serializable
-    data class PermitRequest(val attempt: AttemptId, val target: TargetId, val demand: PermitDemand) :
-        AdmissionMessage()
+    @SerialName("r")
+    data class PermitRequest(
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
+        @SerialName("d") val demand: PermitDemand,
+    ) : AdmissionMessage()
 
     /** Owner to ingress: [attempt] may run; the permit lapses after [lease] unless it is renewed. */
     @Serializable
-    data class PermitGranted(val attempt: AttemptId, val target: TargetId, val lease: Duration) : AdmissionMessage()
+    @SerialName("g")
+    data class PermitGranted(
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
+        @SerialName("l") val lease: Duration,
+    ) : AdmissionMessage()
 
     /** Owner to ingress: [attempt] waits in the target's queue, for about [expectedWait]. */
     @Serializable
-    data class PermitQueued(val attempt: AttemptId, val target: TargetId, val expectedWait: Duration) :
-        AdmissionMessage()
+    @SerialName("q")
+    data class PermitQueued(
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
+        val expectedWait: Duration,
+    ) : AdmissionMessage()
 
     /**
      * Owner to ingress: ask another target. [hint] is to be asked first: it has free slots, or with [hintRanChat] it
@@ -32,9 +47,10 @@
      * none.
      */
     @Serializable
+    @SerialName("s")
     data class PermitSpilled(
-        val attempt: AttemptId,
-        val target: TargetId,
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
         val hint: TargetId?,
         val roomLeft: Boolean = false,
         val hintRanChat: Boolean = false,
@@ -42,36 +58,46 @@
 
     /** Owner to ingress: [attempt] will not run on [target]. */
     @Serializable
-    data class PermitRefused(val attempt: AttemptId, val target: TargetId, val reason: PermitRefusal) :
-        AdmissionMessage()
+    @SerialName("n")
+    data class PermitRefused(
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
+        val reason: PermitRefusal,
+    ) : AdmissionMessage()
 
     /**
      * Ingress to owner: [attempt] has ended or does not want its permit or place in the queue any more.
      * [timeToFirstToken] is counted from the grant; null when no token came. A former owner sets [forwarded].
      */
     @Serializable
+    @SerialName("e")
     data class PermitReleased(
-        val attempt: AttemptId,
-        val target: TargetId,
-        val timeToFirstToken: Duration? = null,
+        @SerialName("a") val attempt: AttemptId,
+        @SerialName("t") val target: TargetId,
+        @SerialName("f") val timeToFirstToken: Duration? = null,
         val forwarded: Boolean = false,
     ) : AdmissionMessage()
 
     /** Ingress to owner: renews the sender's permits on [target]; a new owner rebuilds its count from them. */
     @Serializable
-    data class PermitsRenewed(val target: TargetId, val permits: List<HeldPermit>) : AdmissionMessage()
+    @SerialName("k")
+    data class PermitsRenewed(@SerialName("t") val target: TargetId, val permits: List<HeldPermit>) : AdmissionMessage()
 
     /** Ingress to the owner of [home]: the chat that [home] spilled was granted a permit on [placedOn]. */
     @Serializable
+    @SerialName("p")
     data class ChatPlaced(val home: TargetId, val account: AccountId, val chat: ChatId, val placedOn: TargetId) :
         AdmissionMessage()
 
     /** Former owner to new owner: the permits that stand on [target]. */
     @Serializable
-    data class PermitsHandedOver(val target: TargetId, val permits: List<HandedOverPermit>) : AdmissionMessage()
+    @SerialName("h")
+    data class PermitsHandedOver(@SerialName("t") val target: TargetId, val permits: List<HandedOverPermit>) :
+        AdmissionMessage()
 
     /** Owner to aggregator: the sender's [counts] of its targets in [group]. */
     @Serializable
+    @SerialName("c")
     data class LoadCounted(val group: LoadGroup, val counts: List<TargetCount>) : AdmissionMessage()
 
     /**
@@ -79,6 +105,7 @@
      * [roomy] have most free slots.
      */
     @Serializable
+    @SerialName("t")
     data class LoadTotalled(
         val group: LoadGroup,
         val total: Int,
--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/PermitDemand.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.admission
 
 import kotlin.time.Duration
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.ChatId
@@ -16,14 +17,14 @@
  */
 @Serializable
 data class PermitDemand(
-    val account: AccountId,
-    val chat: ChatId?,
-    val priority: Priority,
-    val timeAllowed: Duration,
-    val promptTokens: Int,
-    val outputTokens: Int,
-    val home: Boolean = true,
-    val returning: Boolean = false,
-    val spills: Int = 0,
-    val ranChat: Boolean = false,
+    @SerialName("a") val account: AccountId,
+    @SerialName("c") val chat: ChatId?,
+    @SerialName("p") val priority: Priority,
+    @SerialName("t") val timeAllowed: Duration,
+    @SerialName("i") val promptTokens: Int,
+    @SerialName("o") val outputTokens: Int,
+    @SerialName("h") val home: Boolean = true,
+    @SerialName("r") val returning: Boolean = false,
+    @SerialName("s") val spills: Int = 0,
+    @SerialName("k") val ranChat: Boolean = false,
 )
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/Main.kt
@@ -2,6 +2,7 @@
 
 import kotlin.system.exitProcess
 import org.cicadaarch.experiment.benchmark.StreamBenchmark
+import org.cicadaarch.experiment.capacity.CapacityExperiment
 import org.cicadaarch.experiment.demonstration.DemonstrationExperiment
 import org.cicadaarch.experiment.demonstration.StandInsExperiment
 import org.cicadaarch.experiment.fuzz.FuzzExperiment
@@ -19,6 +20,7 @@
     StandInsExperiment(),
     StreamBenchmark(),
     FuzzExperiment(),
+    CapacityExperiment(),
     LedgerExperiment(),
     PolicyExperiment(),
     MembershipExperiment(),
--- a/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerMessage.kt
+++ b/cicadaarch-ledger/src/main/kotlin/org/cicadaarch/ledger/LedgerMessage.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.ledger
 
 import kotlin.time.Duration
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cicadaarch.model.RouterId
 
@@ -22,47 +23,58 @@
 
     /** Asks for [claim]; repeated until it is answered or [timeAllowed] is over. */
     @Serializable
+    @SerialName("r")
     data class ClaimRequest(override val claim: Claim, val timeAllowed: Duration) : ForOwner()
 
     /** The request of a granted [claim] ended with [result]; [digest] identifies its answer. */
     @Serializable
+    @SerialName("f")
     data class ClaimFinished(override val claim: Claim, val result: RunResult, val digest: String? = null) :
         ForOwner()
 
     /** No byte of the request of [claim] was offered to a target, nor will one be. */
     @Serializable
+    @SerialName("a")
     data class ClaimAbandoned(override val claim: Claim) : ForOwner()
 
     /** Answers [ClaimInquiry]: the request of [claim] is still open. */
     @Serializable
+    @SerialName("k")
     data class ClaimRunning(override val claim: Claim) : ForOwner()
 
     /** The store holds [claim]: its request may run. */
     @Serializable
+    @SerialName("g")
     data class ClaimGranted(override val claim: Claim) : ForIngress()
 
     /** An earlier request holds the key of [claim]; its owner is finding out how that request stands. */
     @Serializable
+    @SerialName("h")
     data class ClaimHeld(override val claim: Claim) : ForIngress()
 
     /** The key of [claim] was used by an earlier request, of which [standing] and [digest] are known. */
     @Serializable
+    @SerialName("d")
     data class ClaimDenied(override val claim: Claim, val standing: ClaimStanding, val digest: String? = null) :
         ForIngress()
 
     /** [claim] is not granted for [reason]. */
     @Serializable
+    @SerialName("n")
     data class ClaimRefused(override val claim: Claim, val reason: ClaimRefusal) : ForIngress()
 
     /** The receiver of [claim] does not own the shard in its view; [owner] does. */
     @Serializable
+    @SerialName("o")
     data class ClaimRedirected(override val claim: Claim, val owner: RouterId) : ForIngress()
 
     /** Asks how the request of [claim], which holds a key that is wanted again, stands. */
     @Serializable
+    @SerialName("i")
     data class ClaimInquiry(override val claim: Claim) : ForIngress()
 
     /** The finish or abandonment of [claim] is in the store; it need not be reported again. */
     @Serializable
+    @SerialName("w")
     data class ReportRecorded(override val claim: Claim) : ForIngress()
 }
--- a/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/AttemptId.kt
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/AttemptId.kt
@@ -1,11 +1,12 @@
 package org.cicadaarch.model
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
  * Identifies one attempt to run [request] on a target; [number] counts from one.
  */
 @Serializable
-data class AttemptId(val request: RequestId, val number: Int) {
+data class AttemptId(@SerialName("r") val request: RequestId, @SerialName("n") val number: Int) {
     override fun toString(): String = "$request/$number"
 }
--- a/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
+++ b/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
@@ -26,7 +26,17 @@
     /** The best of [members] for [key], or null when there are none. */
     fun <T> first(key: String, members: Collection<T>, name: (T) -> String): T? {
         val keyHash = hashFunction.hashChars(key)
-        return members.maxWithOrNull(compareBy<T> { score(keyHash, name(it), 1.0) }.thenBy { name(it) })
+        var best: T? = null
+        var bestScore = Double.NEGATIVE_INFINITY
+        for (member in members) {
+            val score = score(keyHash, name(member), weight = 1.0)
+            val isBetter = score > bestScore || (score == bestScore && best != null && name(member) > name(best))
+            if (isBetter) {
+                best = member
+                bestScore = score
+            }
+        }
+        return best
     }
 
     private fun score(keyHash: Long, name: String, weight: Double): Double {
--- a/cicadaarch-protocol/src/main/kotlin/org/cicadaarch/protocol/PeerCodec.kt
+++ b/cicadaarch-protocol/src/main/kotlin/org/cicadaarch/protocol/PeerCodec.kt
@@ -24,6 +24,7 @@
     private val cbor = Cbor {
         ignoreUnknownKeys = true
         encodeDefaults = false
+        useDefiniteLengthEncoding = true
     }
 
     /** The bytes of [message], without the length. */
