Tell the reducer of a request before its caller can be gone

Cause: a caller that closed its connection while its secret was checked was reported as gone before the request was reported as arrived; the reducer ignored the first and ran the request for nobody, to its end. Ruled out: the cancel path itself (a caller that goes later is cancelled). Change: the arrival is submitted first.

--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
@@ -90,8 +90,8 @@
                     submit = submit,
                 )
                 exchanges[head.id] = OpenExchange(exchange, answer.eventLoop)
-                opened(exchange)
                 submit(IngressEvent.Arrived(head))
+                opened(exchange)
             },
         )
     }
