Import what the code names; count no connection of the fixture's own

Change: names are imported; the fixture waits until its own connection is closed before a test begins. No assertion changed.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/benchmark/StreamBenchmark.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/benchmark/StreamBenchmark.kt
@@ -4,6 +4,7 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
@@ -106,7 +107,7 @@
             val request = HttpRequest.newBuilder(URI.create("http://$address/v1/chat/completions"))
                 .header("authorization", "Bearer $token")
                 .header("content-type", "application/json")
-                .timeout(java.time.Duration.ofSeconds(TIMEOUT_SECONDS))
+                .timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build()
             val begun = System.nanoTime()
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/capacity/CapacityExperiment.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/capacity/CapacityExperiment.kt
@@ -10,6 +10,7 @@
 import org.cicadaarch.admission.PermitDemand
 import org.cicadaarch.admission.TargetOwnership
 import org.cicadaarch.core.PeerMessage
+import org.cicadaarch.core.RouterEffect
 import org.cicadaarch.core.RouterEvent
 import org.cicadaarch.core.RouterReducer
 import org.cicadaarch.core.RouterState
@@ -100,7 +101,7 @@
             val now = Timestamp(number.toLong())
             val head = SimulatedWorkload.head(number)
             var step = reducer.reduce(state, RouterEvent.Ingress(IngressEvent.Arrived(head)), now)
-            val sent = step.effects.filterIsInstance<org.cicadaarch.core.RouterEffect.SendToPeer>().firstOrNull()
+            val sent = step.effects.filterIsInstance<RouterEffect.SendToPeer>().firstOrNull()
             val request = (sent?.message as? PeerMessage.ToAdmissionOwner)?.message as? AdmissionMessage.PermitRequest
             val attempt = request?.attempt ?: AttemptId(head.id, 1)
             if (request != null) {
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerAnswer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerAnswer.kt
@@ -7,8 +7,10 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -78,7 +80,7 @@
             status,
             body,
             headers,
-            io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE,
+            EmptyHttpHeaders.INSTANCE,
         )
         response.headers()[HttpHeaderNames.CONTENT_LENGTH] = body.readableBytes()
         setConnectionHeader(response)
@@ -95,7 +97,7 @@
                 if (request != null) put("request", request.value)
             }
         }
-        val headers = io.netty.handler.codec.http.DefaultHttpHeaders()
+        val headers = DefaultHttpHeaders()
         headers[HttpHeaderNames.CONTENT_TYPE] = HttpHeaderValues.APPLICATION_JSON
         headers[CallerHeaders.OUTCOME] = error.outcome.label
         if (request != null) headers[CallerHeaders.REQUEST] = request.value
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.router.caller
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -268,7 +269,7 @@
             return headers
         }
 
-        private fun ByteBuf.contains(mark: ByteBuf): Boolean = io.netty.buffer.ByteBufUtil.indexOf(mark, this) >= 0
+        private fun ByteBuf.contains(mark: ByteBuf): Boolean = ByteBufUtil.indexOf(mark, this) >= 0
     }
 
     private companion object {
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/EngineControl.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/EngineControl.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -69,7 +70,7 @@
         timeLimit: Duration,
         onResult: (Pair<Int, String>?) -> Unit,
     ) {
-        val eventLoop = eventLoops.next() as io.netty.channel.EventLoop
+        val eventLoop = eventLoops.next() as EventLoop
         eventLoop.execute {
             val answer = WholeAnswer(onResult)
             val headers = DefaultHttpHeaders()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -51,7 +52,7 @@
 
     private fun connect(key: ConnectionKey, request: TargetRequest, call: TargetCall, listener: TargetAnswerListener) {
         bootstrap(key.eventLoop).connect(request.address.host, request.address.port).addListener { future ->
-            val channel = (future as io.netty.channel.ChannelFuture).channel()
+            val channel = (future as ChannelFuture).channel()
             when {
                 call.cancelled -> channel.close()
                 !future.isSuccess -> listener.onFailed(AttemptFailure.NotConnected)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetProbe.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetProbe.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler
 import io.netty.util.ReferenceCountUtil
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import org.cicadaarch.model.RouterAddress
 
 /**
@@ -46,7 +47,7 @@
     }
 
     private class SingleResult(private val onResult: (Boolean) -> Unit) {
-        private val given = java.util.concurrent.atomic.AtomicBoolean()
+        private val given = AtomicBoolean()
 
         fun give(alive: Boolean) {
             if (given.compareAndSet(false, true)) onResult(alive)
--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RawConnection.kt
+++ b/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RawConnection.kt
@@ -6,6 +6,7 @@
 import java.io.InputStream
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.net.SocketException
 
 /**
  * A connection on which a test writes any bytes and reads answers.
@@ -47,7 +48,7 @@
     /** Whether the router closes the connection without another byte. */
     fun isClosedByRouter(): Boolean = try {
         input.read() < 0
-    } catch (_: java.net.SocketException) {
+    } catch (_: SocketException) {
         true
     }
 
--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
+++ b/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
@@ -90,6 +90,7 @@
         router.start()
         Conditions.await("the router is ready") { isReady() }
         Conditions.await("a request is answered") { connect().use { it.ask(GOOD_REQUEST).status } == 200 }
+        Conditions.await("the fixture's own connection is closed") { NO_CONNECTION in metrics() }
     }
 
     /** A new connection of a caller. */
@@ -99,6 +100,9 @@
     /** What the engine says that it ran, in JSON. */
     fun engineRuns(): String = send(HttpRequest.newBuilder(uri(engine.port, "/ran"))).body()
 
+    /** The router's metrics as text. */
+    fun metrics(): String = send(HttpRequest.newBuilder(uri(settings.operatorsAddress.port, "/metrics"))).body()
+
     /** Whether the router calls itself ready. */
     fun isReady(): Boolean = send(HttpRequest.newBuilder(uri(settings.operatorsAddress.port, "/ready")))
         .statusCode() == 200
@@ -146,6 +150,8 @@
     private fun uri(port: Int, path: String): URI = URI.create("http://$HOST:$port$path")
 
     companion object {
+        private const val NO_CONNECTION = "cicadaarch_caller_connections 0.0"
+
         /** The secret of the fixture's account. */
         const val SECRET: String = "apricot-lantern-secret"
 
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetScenarioTest.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/simulation/FleetScenarioTest.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.testkit.simulation
 
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -37,7 +38,7 @@
     @Test
     fun `Given a leaving target, when all routers know of it, then it gets no new work`() {
         val leaving = simulation.targets.keys.first()
-        simulation.changeFleet(spread = 1.milliseconds, random = kotlin.random.Random(1)) { fleet ->
+        simulation.changeFleet(spread = 1.milliseconds, random = Random(1)) { fleet ->
             fleet.copy(targets = fleet.targets + (leaving to fleet.targets.getValue(leaving).copy(leaving = true)))
         }
         simulation.clock.advance(1.seconds)
