Serve the users' platform: a thin whole path

Cause: the router started on the platform answered 503 to everything, since it looked for a fleet document that the platform does not have.

Change: cicadaarch-dispatch decides (routes, targets, attempts, retries, load bound, following a prefix of the store) as pure reducers; cicadaarch-forwarding moves bytes on one event loop; platform/ decodes settings, store, configuration, target entries and headers. cicadaarch-platform is now cicadaarch-store, so that its name does not clash; logging is a module of its own.

Ruled out for now: admission owners with permits on this path. Each router uses its own counts and the load that targets tell with every answer; to be compared.

--- /dev/null
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -0,0 +1,154 @@
+package org.cicadaarch.dispatch.follow
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.toPersistentMap
+import org.cicadaarch.dispatch.follow.FollowState.Phase
+import org.cicadaarch.model.Step
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.model.store.StoredValue
+
+/**
+ * Keeps a copy of all values below [prefix] up to date: reads them once, then waits for changes.
+ *
+ * An outage of the store removes no value. A value that vanished during an outage is kept until [settleTime] after the
+ * store's return, since its owner may be about to write it again.
+ */
+class FollowReducer(private val prefix: String, private val settleTime: Duration) {
+    /** The state and the effects after [event] at [now]. */
+    fun reduce(state: FollowState, event: FollowEvent, now: Timestamp): Step<FollowState, FollowEffect> = when (event) {
+        FollowEvent.Started -> read(state)
+        is FollowEvent.Answered -> if (event.call == state.call) answered(state, event.result, now) else Step(state)
+        FollowEvent.Tick -> tick(state, now)
+    }
+
+    /** When the next [FollowEvent.Tick] is due, or null when only the store is waited for. */
+    fun nextTick(state: FollowState): Timestamp? =
+        listOfNotNull((state.phase as? Phase.Pausing)?.until, state.missing.values.minOrNull()).minOrNull()
+
+    private fun tick(state: FollowState, now: Timestamp): Step<FollowState, FollowEffect> {
+        val gone = state.missing.filterValues { it <= now }.keys
+        val settled = if (gone.isEmpty()) {
+            Step(state, emptyList())
+        } else {
+            val values = state.values.mutate { map -> gone.forEach { map.remove(it) } }
+            val missing = state.missing.mutate { map -> gone.forEach { map.remove(it) } }
+            Step(state.copy(values = values, missing = missing), listOf(FollowEffect.Changed(values)))
+        }
+        val phase = state.phase
+        if (phase !is Phase.Pausing || phase.until > now) return settled
+        return settled.then { if (phase.isReading) read(it) else watch(it) }
+    }
+
+    private fun answered(state: FollowState, result: StoreResult, now: Timestamp): Step<FollowState, FollowEffect> {
+        val phase = state.phase
+        return when {
+            result is StoreResult.Values && phase is Phase.Reading -> regained(state, now).then {
+                pageRead(it, phase, result, now)
+            }
+
+            result is StoreResult.Values && phase is Phase.Watching -> regained(state, now).then {
+                changed(it, result, now)
+            }
+
+            result is StoreResult.HistoryLost -> regained(state, now).then { read(it) }
+
+            result is StoreResult.Refused -> failed(state, result.reason, now)
+
+            result is StoreResult.Unanswered -> failed(state, result.reason, now)
+
+            else -> failed(state, "unexpected answer $result", now)
+        }
+    }
+
+    private fun regained(state: FollowState, now: Timestamp): Step<FollowState, FollowEffect> = when (state.failures) {
+        0 -> Step(state)
+        else -> Step(state.copy(failures = 0, regainedAt = now), listOf(FollowEffect.StoreRegained))
+    }
+
+    private fun failed(state: FollowState, reason: String, now: Timestamp): Step<FollowState, FollowEffect> {
+        val pause = (FIRST_PAUSE * (1 shl state.failures.coerceAtMost(MOST_DOUBLINGS))).coerceAtMost(LONGEST_PAUSE)
+        val isReading = state.phase !is Phase.Watching
+        val next = state.copy(phase = Phase.Pausing(now + pause, isReading), failures = state.failures + 1)
+        return Step(next, if (state.failures == 0) listOf(FollowEffect.StoreLost(reason)) else emptyList())
+    }
+
+    private fun read(state: FollowState): Step<FollowState, FollowEffect> =
+        call(state, Phase.Reading(read = emptyMap(), revision = null), pageFrom(prefix))
+
+    private fun pageRead(
+        state: FollowState,
+        phase: Phase.Reading,
+        page: StoreResult.Values,
+        now: Timestamp,
+    ): Step<FollowState, FollowEffect> {
+        val read = phase.read + page.values.mapNotNull { item -> item.value?.let { item.key to it } }
+        val revision = phase.revision ?: page.revision
+        val last = page.values.lastOrNull()?.key
+        if (page.hasMore && last != null) {
+            return call(state, Phase.Reading(read, revision), pageFrom(last + AFTER_KEY))
+        }
+        return replaced(state, read, now).then { watch(it.copy(revision = revision)) }
+    }
+
+    private fun changed(
+        state: FollowState,
+        result: StoreResult.Values,
+        now: Timestamp,
+    ): Step<FollowState, FollowEffect> {
+        val values = state.values.toMutableMap()
+        result.values.sortedBy { it.revision }.forEach { item: StoredValue ->
+            val value = item.value
+            if (value == null) values.remove(item.key) else values[item.key] = value
+        }
+        val next = state.copy(revision = maxOf(state.revision, result.revision))
+        val step = if (result.values.isEmpty()) Step(next) else replaced(next, values, now)
+        return step.then { watch(it) }
+    }
+
+    private fun replaced(
+        state: FollowState,
+        found: Map<String, String>,
+        now: Timestamp,
+    ): Step<FollowState, FollowEffect> {
+        val settledAt = state.regainedAt?.plus(settleTime)
+        val lost = state.values.keys - found.keys
+        val kept = if (settledAt != null && now < settledAt) lost else emptySet()
+        val missing = kept.associateWith { state.missing[it] ?: checkNotNull(settledAt) }
+        val values = (found + kept.associateWith { state.values.getValue(it) }).toPersistentMap()
+        val next = state.copy(values = values, missing = missing.toPersistentMap())
+        return Step(next, if (values == state.values) emptyList() else listOf(FollowEffect.Changed(values)))
+    }
+
+    private fun watch(state: FollowState): Step<FollowState, FollowEffect> =
+        call(state, Phase.Watching, StoreCommand.AwaitChange(prefix, state.revision, WATCH_TIME))
+
+    private fun pageFrom(key: String) = StoreCommand.ReadPrefix(prefix = prefix, from = key, limit = PAGE_SIZE)
+
+    private fun call(state: FollowState, phase: Phase, command: StoreCommand): Step<FollowState, FollowEffect> {
+        val number = state.call + 1
+        return Step(state.copy(phase = phase, call = number), listOf(FollowEffect.Call(number, command)))
+    }
+
+    private fun Step<FollowState, FollowEffect>.then(
+        next: (FollowState) -> Step<FollowState, FollowEffect>,
+    ): Step<FollowState, FollowEffect> {
+        val after = next(state)
+        return Step(after.state, effects + after.effects)
+    }
+
+    private companion object {
+        val FIRST_PAUSE = 100.milliseconds
+        val LONGEST_PAUSE = 800.milliseconds
+        const val MOST_DOUBLINGS = 3
+        val WATCH_TIME = 10.seconds
+        const val PAGE_SIZE = 500
+
+        /** The least text that makes a key the next one after another. */
+        const val AFTER_KEY = "\u0000"
+    }
+}
--- /dev/null
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
@@ -0,0 +1,36 @@
+package org.cicadaarch.dispatch.follow
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.model.Timestamp
+
+/**
+ * The known [values] below a prefix and what comes next.
+ *
+ * [missing] are keys that vanished around an outage of the store, with the moment at which they are taken as gone.
+ * [failures] counts the calls that failed since the last good one.
+ */
+data class FollowState(
+    val phase: Phase = Phase.Idle,
+    val call: Long = 0,
+    val values: PersistentMap<String, String> = persistentMapOf(),
+    val missing: PersistentMap<String, Timestamp> = persistentMapOf(),
+    val revision: Long = 0,
+    val failures: Int = 0,
+    val regainedAt: Timestamp? = null,
+) {
+    /** What the follower waits for. */
+    sealed class Phase {
+        /** Nothing yet. */
+        data object Idle : Phase()
+
+        /** A page of a full read; [read] holds the pages before, the first of which was read at [revision]. */
+        data class Reading(val read: Map<String, String>, val revision: Long?) : Phase()
+
+        /** The next change. */
+        data object Watching : Phase()
+
+        /** The moment [until], to call again: to read everything if [isReading], else to watch. */
+        data class Pausing(val until: Timestamp, val isReading: Boolean) : Phase()
+    }
+}
--- /dev/null
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -0,0 +1,22 @@
+package org.cicadaarch.dispatch.request
+
+import kotlin.time.Duration
+import org.cicadaarch.dispatch.target.TargetEntry
+
+/**
+ * What the dispatch wants done.
+ */
+sealed class DispatchEffect {
+    /** Send the request to [target], which may work on it for [timeLeft]. */
+    data class Send(val id: ExchangeId, val attempt: Int, val target: TargetEntry, val timeLeft: Duration) :
+        DispatchEffect()
+
+    /** Break off the attempt on its target. */
+    data class Cancel(val id: ExchangeId, val attempt: Int) : DispatchEffect()
+
+    /** Give the caller the whole answer of the last attempt. */
+    data class Deliver(val id: ExchangeId) : DispatchEffect()
+
+    /** End the request without an answer of a target. */
+    data class Fail(val id: ExchangeId, val failure: Failure) : DispatchEffect()
+}
--- /dev/null
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/routing/ServiceProfile.kt
@@ -0,0 +1,7 @@
+package org.cicadaarch.dispatch.routing
+
+/**
+ * What the configuration says of a service: each of its targets takes [connectionLimit] connections from all routers
+ * together.
+ */
+data class ServiceProfile(val connectionLimit: Int)
--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/FleetEditor.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/demonstration/FleetEditor.kt
@@ -11,7 +11,7 @@
 import org.cicadaarch.model.store.ExpectedState
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
-import org.cicadaarch.platform.EtcdStore
+import org.cicadaarch.store.EtcdStore
 
 /**
  * Writes the fleet document to the store by compare-and-swap, as an operator would.
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -0,0 +1,116 @@
+package org.cicadaarch.forwarding
+
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.dispatch.request.DispatchReducer
+import org.cicadaarch.forwarding.caller.CallerListener
+import org.cicadaarch.forwarding.exchange.Exchanges
+import org.cicadaarch.forwarding.fleet.FleetReader
+import org.cicadaarch.forwarding.fleet.FollowRunner
+import org.cicadaarch.forwarding.format.FleetFormat
+import org.cicadaarch.forwarding.format.HeaderFormat
+import org.cicadaarch.forwarding.target.TargetConnections
+import org.cicadaarch.logging.LogEvents
+import org.cicadaarch.store.Store
+
+/**
+ * A router that forwards requests by the routes of the store's configuration to the targets that the store lists.
+ * Everything runs on the one event loop of [eventLoops].
+ */
+class ForwardingProcess(
+    private val settings: ForwardingSettings,
+    private val eventLoops: EventLoopGroup,
+    store: Store,
+    headerFormat: HeaderFormat,
+    fleetFormat: FleetFormat,
+) {
+    private val eventLoop = eventLoops.next()
+    private val stopping = AtomicBoolean()
+    private val stopped = CountDownLatch(1)
+    private val connections = TargetConnections(eventLoop, headerFormat)
+    private val exchanges = Exchanges(eventLoop, DispatchReducer(settings.dispatch), connections, headerFormat)
+    private val callers = CallerListener(settings.callerAddress, eventLoops, exchanges)
+    private val readiness = ReadinessListener(
+        address = settings.readinessAddress,
+        path = settings.readinessPath,
+        eventLoops = eventLoops,
+        isReady = { exchanges.table != null && !stopping.get() },
+    )
+    private val reader = FleetReader(fleetFormat, exchanges::install, exchanges::targetsChanged)
+    private val configuration = FollowRunner(
+        prefix = fleetFormat.configurationPrefix,
+        settleTime = Duration.ZERO,
+        store = store,
+        eventLoop = eventLoop,
+        onChange = reader::configurationChanged,
+    )
+    private val targets = FollowRunner(
+        prefix = fleetFormat.targetPrefix,
+        settleTime = TARGET_SETTLE_TIME,
+        store = store,
+        eventLoop = eventLoop,
+        onChange = reader::targetsChanged,
+    )
+
+    /** Starts everything; fails with an exception when an address is taken. */
+    fun start() {
+        readiness.start()
+        callers.start()
+        eventLoop.execute {
+            connections.start()
+            configuration.start()
+            targets.start()
+        }
+        LogEvents.info("router-started") {
+            "router" to settings.name
+            "callers" to settings.callerAddress
+            "readiness" to settings.readinessAddress
+            "zone" to settings.dispatch.zone
+        }
+    }
+
+    /**
+     * Shuts down gracefully: is not ready for [BALANCER_NOTICE] while it still takes connections, then closes idle
+     * connections and ends when none is left, or shortly before the grace period is over.
+     */
+    fun stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            stopped.await()
+            return
+        }
+        val deadline = System.nanoTime() + (settings.gracePeriod - LAST_MOMENT).inWholeNanoseconds
+        LogEvents.info("router-draining") { "openRequests" to exchanges.size }
+        onEventLoop { callers.drain() }
+        Thread.sleep(BALANCER_NOTICE.inWholeMilliseconds)
+        while (System.nanoTime() < deadline && openConnections() > 0) {
+            onEventLoop { callers.closeIdle() }
+            Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
+        }
+        LogEvents.info("router-stopped") { "openRequests" to exchanges.size }
+        stopped.countDown()
+    }
+
+    /** Waits until [stop] is done. */
+    fun awaitStopped() = stopped.await()
+
+    private fun openConnections(): Int = eventLoop.submit<Int> { callers.openConnections }.get(1, TimeUnit.SECONDS)
+
+    private fun onEventLoop(action: () -> Unit) {
+        eventLoop.submit(action).get(1, TimeUnit.SECONDS)
+    }
+
+    private companion object {
+        /** A target whose entry lapsed with the store's outage is back within two seconds if it lives. */
+        val TARGET_SETTLE_TIME = 2200.milliseconds
+
+        /** The balancer asks every second and believes two misses. */
+        val BALANCER_NOTICE = 2500.milliseconds
+        val DRAIN_POLL = 50.milliseconds
+        val LAST_MOMENT = 0.7.seconds
+    }
+}
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerListener.kt
@@ -0,0 +1,87 @@
+package org.cicadaarch.forwarding.caller
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import java.net.InetSocketAddress
+import org.cicadaarch.dispatch.routing.CallerLimits
+import org.cicadaarch.forwarding.exchange.Exchanges
+import org.cicadaarch.model.RouterAddress
+
+/**
+ * Listens for callers. While it drains it closes each connection after the present request.
+ */
+internal class CallerListener(
+    private val address: RouterAddress,
+    private val eventLoops: EventLoopGroup,
+    val exchanges: Exchanges,
+) {
+    private val handlers = LinkedHashSet<CallerHandler>()
+    private var serverChannel: Channel? = null
+
+    /** Whether answers end their connection. */
+    var isDraining = false
+        private set
+
+    /** The limits in force. */
+    val limits: CallerLimits get() = exchanges.limits
+
+    /** Open connections. */
+    val openConnections: Int get() = handlers.size
+
+    /** Binds the address; throws when it is taken. */
+    fun start() {
+        serverChannel = ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(ConnectionInitializer())
+            .bind(InetSocketAddress(address.host, address.port))
+            .sync()
+            .channel()
+    }
+
+    /** Ends each connection with its next answer. */
+    fun drain() {
+        isDraining = true
+    }
+
+    /** Closes the connections that carry no request. */
+    fun closeIdle() = handlers.toList().forEach { it.closeIfIdle() }
+
+    /** Takes no more connections. */
+    fun stop() {
+        serverChannel?.close()
+    }
+
+    /** A connection was opened. */
+    fun opened(handler: CallerHandler) {
+        handlers += handler
+    }
+
+    /** A connection was closed. */
+    fun closed(handler: CallerHandler) {
+        handlers -= handler
+    }
+
+    private inner class ConnectionInitializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            val handler = CallerHandler(this@CallerListener)
+            channel.pipeline()
+                .addLast(CallerTimeouts(this@CallerListener, handler))
+                .addLast(StrictRequestDecoder(limits.headerBytes))
+                .addLast(HttpResponseEncoder())
+                .addLast(handler)
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 1024
+    }
+}
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FleetReader.kt
@@ -0,0 +1,91 @@
+package org.cicadaarch.forwarding.fleet
+
+import org.cicadaarch.dispatch.routing.RoutingTable
+import org.cicadaarch.dispatch.target.TargetEntry
+import org.cicadaarch.forwarding.format.FleetFormat
+import org.cicadaarch.logging.LogEvents
+
+/**
+ * Turns values of the store into configurations and targets. A value that cannot be read is logged once and passed
+ * over; a configuration is given on only if it is newer than the one before.
+ */
+internal class FleetReader(
+    private val format: FleetFormat,
+    private val onTable: (RoutingTable) -> Unit,
+    private val onTargets: (List<TargetEntry>) -> Unit,
+) {
+    private var version: Long? = null
+    private var configuration: String? = null
+    private var targets = emptyMap<String, ReadTarget>()
+
+    /** The values below the configuration's prefix changed. */
+    fun configurationChanged(values: Map<String, String>) {
+        val value = values[format.configurationKey] ?: return
+        if (value == configuration) return
+        configuration = value
+        format.routingTable(value).fold(
+            ifLeft = { error -> LogEvents.warn("configuration-unreadable") { "error" to error } },
+            ifRight = { install(it) },
+        )
+    }
+
+    /** The values below the targets' prefix changed. */
+    fun targetsChanged(values: Map<String, String>) {
+        val before = targets
+        targets = values.mapValues { (key, value) -> before[key]?.takeIf { it.value == value } ?: read(key, value) }
+        logChanges(before.mapValues { it.value.entry }, targets.mapValues { it.value.entry })
+        onTargets(targets.values.mapNotNull { it.entry })
+    }
+
+    private fun install(table: RoutingTable) {
+        val installed = version
+        if (installed != null && table.version <= installed) return
+        version = table.version
+        LogEvents.info("configuration-applied") {
+            "version" to table.version
+            "before" to installed
+            "routes" to table.size
+        }
+        onTable(table)
+    }
+
+    private fun read(key: String, value: String): ReadTarget {
+        val last = targets[key]?.entry
+        val entry = format.target(key, value).fold(
+            ifLeft = { error ->
+                LogEvents.warn("target-unreadable") {
+                    "key" to key
+                    "error" to error
+                }
+                null
+            },
+            ifRight = { it },
+        )
+        return ReadTarget(value, if (last != null && entry != null && entry.isOlderThan(last)) last else entry)
+    }
+
+    private fun logChanges(before: Map<String, TargetEntry?>, after: Map<String, TargetEntry?>) {
+        (before.keys + after.keys).forEach { key ->
+            val old = before[key]
+            val new = after[key]
+            val change = when {
+                old == null && new == null -> null
+                new == null -> "target-gone"
+                old == null || !old.isSameProcess(new) -> "target-seen"
+                !old.isDraining && new.isDraining -> "target-draining"
+                else -> null
+            }
+            if (change != null) logChange(change, checkNotNull(new ?: old))
+        }
+    }
+
+    private fun logChange(change: String, entry: TargetEntry) = LogEvents.info(change) {
+        "target" to entry.id
+        "service" to entry.service
+        "address" to "${entry.host}:${entry.port}"
+        "startedAt" to entry.startedAtMillis
+        "sequence" to entry.sequence
+    }
+
+    private class ReadTarget(val value: String, val entry: TargetEntry?)
+}
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/format/AttemptMetadata.kt
@@ -0,0 +1,17 @@
+package org.cicadaarch.forwarding.format
+
+import kotlin.time.Duration
+import org.cicadaarch.model.AccountId
+import org.cicadaarch.model.TargetId
+
+/**
+ * What a target is told besides the caller's own headers. [resumesAfter] is the id of the last event that the caller
+ * has, if a stream is to go on.
+ */
+data class AttemptMetadata(
+    val target: TargetId,
+    val account: AccountId?,
+    val timeLeft: Duration,
+    val priority: Int,
+    val resumesAfter: String?,
+)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/EventStreamSplitter.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/stream/EventStreamSplitter.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.router.caller
+package org.cicadaarch.forwarding.stream
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -23,6 +23,9 @@
         return events
     }
 
+    /** What is left of an unfinished event, which is then the caller's to release. */
+    fun takeRest(): ByteBuf = rest.also { rest = Unpooled.EMPTY_BUFFER }
+
     /** Drops what is left of an unfinished event. */
     fun close() {
         rest.release()
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -0,0 +1,152 @@
+package org.cicadaarch.forwarding.target
+
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.forwarding.EventLoopClock
+import org.cicadaarch.forwarding.format.AnswerMetadata
+import org.cicadaarch.forwarding.format.HeaderFormat
+import org.cicadaarch.model.Timestamp
+
+/**
+ * A connection to a target that carries one attempt at a time.
+ *
+ * Answers to other requests than the present one are skipped. A connection that brings bytes while it is idle, or whose
+ * request was not written in full when its answer ended, is closed.
+ */
+internal class TargetConnection(
+    val key: TargetKey,
+    private val format: HeaderFormat,
+    private val onIdle: (TargetConnection) -> Unit,
+    private val onClosed: (TargetConnection) -> Unit,
+) : SimpleChannelInboundHandler<HttpObject>(false) {
+    private lateinit var context: ChannelHandlerContext
+    private var attempt: RunningAttempt? = null
+    private var statedIdleTime: Duration? = null
+
+    /** When the connection was last used. */
+    var idleSince: Timestamp = EventLoopClock.now()
+        private set
+
+    /** Whether the connection can carry another attempt. */
+    val isOpen: Boolean get() = context.channel().isActive && attempt == null
+
+    /** How long the target keeps the connection without a request. */
+    val idleTime: Duration get() = statedIdleTime ?: UNSTATED_IDLE_TIME
+
+    /** Sends [request], whose caller gave it [requestId], and tells [listener] of the answer. */
+    fun send(request: FullHttpRequest, requestId: String?, listener: AnswerListener) {
+        check(attempt == null) { "The connection already carries an attempt." }
+        val written = context.newPromise()
+        attempt = RunningAttempt(requestId, listener, written)
+        context.writeAndFlush(request, written)
+    }
+
+    /** Breaks off the attempt without telling its listener. */
+    fun abandon() {
+        attempt = null
+        context.close()
+    }
+
+    /** Closes an idle connection. */
+    fun close() {
+        context.close()
+    }
+
+    /** Reads on or not, as the reader of the answer keeps up. */
+    fun readMore(isWanted: Boolean) {
+        context.channel().config().isAutoRead = isWanted
+    }
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    override fun channelRead0(context: ChannelHandlerContext, part: HttpObject) {
+        val running = attempt
+        when {
+            running == null -> context.close()
+            part.decoderResult().isFailure -> fail("malformed-answer")
+            part is HttpResponse -> responseBegun(running, part)
+        }
+        if (part is HttpContent) contentReceived(part)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        fail("connection-closed")
+        onClosed(this)
+    }
+
+    @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        fail(cause.message ?: cause.javaClass.simpleName)
+    }
+
+    private fun responseBegun(running: RunningAttempt, response: HttpResponse) {
+        val metadata = format.readAnswer(response)
+        if (!isOwn(running, response, metadata)) {
+            running.phase = AnswerPhase.SKIPPING
+            return
+        }
+        running.phase = AnswerPhase.READING
+        running.isReusable = HttpUtil.isKeepAlive(response) &&
+            (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
+        KeepAliveHeader.timeout(response.headers())?.let { statedIdleTime = it }
+        running.listener.begun(response, metadata)
+    }
+
+    private fun isOwn(running: RunningAttempt, response: HttpResponse, metadata: AnswerMetadata): Boolean {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return false
+        val isWithoutId = metadata.requestId == null && response.status() != HttpResponseStatus.OK
+        return isWithoutId || metadata.requestId == running.requestId
+    }
+
+    private fun contentReceived(part: HttpContent) {
+        val running = attempt
+        if (running == null || running.phase != AnswerPhase.READING) {
+            part.release()
+            if (running != null && part is LastHttpContent) running.phase = AnswerPhase.WAITING
+            return
+        }
+        val content = part.content()
+        if (content.isReadable) running.listener.received(content) else content.release()
+        if (part is LastHttpContent && attempt === running) ended(running)
+    }
+
+    private fun ended(running: RunningAttempt) {
+        attempt = null
+        idleSince = EventLoopClock.now()
+        val isReusable = running.isReusable && running.written.isSuccess && context.channel().isActive
+        running.listener.ended()
+        if (isReusable) onIdle(this) else context.close()
+    }
+
+    private fun fail(reason: String) {
+        val running = attempt
+        attempt = null
+        context.close()
+        running?.listener?.failed(reason)
+    }
+
+    private enum class AnswerPhase { WAITING, SKIPPING, READING }
+
+    private class RunningAttempt(val requestId: String?, val listener: AnswerListener, val written: ChannelFuture) {
+        var phase = AnswerPhase.WAITING
+        var isReusable = false
+    }
+
+    private companion object {
+        /** Taken as the target's idle timeout when it states none. */
+        val UNSTATED_IDLE_TIME = 4.seconds
+    }
+}
--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/caller/EventStreamSplitterProperty.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/stream/EventStreamSplitterProperty.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.router.caller
+package org.cicadaarch.forwarding.stream
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/LogEvents.kt
+++ b/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogEvents.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.router.observation
+package org.cicadaarch.logging
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/LogFields.kt
+++ b/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogFields.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.router.observation
+package org.cicadaarch.logging
 
 /**
  * Builds the key=value pairs of a log line. Null values are left out; values with spaces or quotes are quoted.
--- a/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreResult.kt
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreResult.kt
@@ -6,8 +6,8 @@
  * The answer to a [StoreCommand].
  */
 sealed class StoreResult {
-    /** What was read, at the store's [revision]. */
-    data class Values(val values: List<StoredValue>, val revision: Long) : StoreResult()
+    /** What was read, at the store's [revision]; a read of a prefix [hasMore] values after these. */
+    data class Values(val values: List<StoredValue>, val revision: Long, val hasMore: Boolean = false) : StoreResult()
 
     /** The write took effect at [revision]. */
     data class Written(val revision: Long) : StoreResult()
@@ -21,6 +21,9 @@
     /** The lease does not exist any more. */
     data object LeaseLost : StoreResult()
 
+    /** The changes after the asked revision are no longer kept: everything has to be read again. */
+    data object HistoryLost : StoreResult()
+
     /** The command did not reach the store or was refused by it: a write had no effect. */
     data class Refused(val reason: String) : StoreResult()
 
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/Main.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/Main.kt
@@ -1,7 +1,7 @@
 package org.cicadaarch.router
 
 import kotlin.system.exitProcess
-import org.cicadaarch.router.observation.LogEvents
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.router.settings.SettingsReader
 
 private const val EXIT_USAGE = 2
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -16,18 +16,16 @@
 import org.cicadaarch.core.RoleReducers
 import org.cicadaarch.core.RouterEvent
 import org.cicadaarch.core.RouterReducer
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.membership.MembershipEvent
 import org.cicadaarch.membership.MembershipReducer
 import org.cicadaarch.membership.MembershipSettings
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.RouterInfo
-import org.cicadaarch.platform.EtcdStore
-import org.cicadaarch.platform.HttpVirtualMachineList
 import org.cicadaarch.router.caller.CallerAuthentication
 import org.cicadaarch.router.caller.CallerServer
 import org.cicadaarch.router.caller.ExchangeRegistry
-import org.cicadaarch.router.observation.LogEvents
 import org.cicadaarch.router.observation.RouterMetrics
 import org.cicadaarch.router.observation.RouterTracing
 import org.cicadaarch.router.operators.OperatorsApi
@@ -42,6 +40,8 @@
 import org.cicadaarch.router.target.TargetAddress
 import org.cicadaarch.router.target.TargetClient
 import org.cicadaarch.router.target.TargetProbe
+import org.cicadaarch.store.EtcdStore
+import org.cicadaarch.store.HttpVirtualMachineList
 
 /**
  * A router: the reducer and everything that carries out its effects.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/Exchange.kt
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.Future
 import java.nio.charset.StandardCharsets
 import java.util.concurrent.TimeUnit
+import org.cicadaarch.forwarding.stream.EventStreamSplitter
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Idempotency
 import org.cicadaarch.model.Outcome
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/ExchangeRegistry.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.ConcurrentHashMap
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.Outcome
@@ -16,7 +17,6 @@
 import org.cicadaarch.request.AttemptFailure
 import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.request.RefusalReason
-import org.cicadaarch.router.observation.LogEvents
 import org.cicadaarch.router.observation.RequestTrace
 import org.cicadaarch.router.observation.RouterMetrics
 import org.cicadaarch.router.observation.RouterTracing
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/NoticeLog.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/observation/NoticeLog.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.router.observation
 
 import org.cicadaarch.core.RouterNotice
+import org.cicadaarch.logging.LogEvents
 
 /**
  * Writes the notices of the roles as log events.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerDatagrams.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerDatagrams.kt
@@ -14,10 +14,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.membership.MembershipCodec
 import org.cicadaarch.membership.MembershipMessage
 import org.cicadaarch.model.RouterAddress
-import org.cicadaarch.router.observation.LogEvents
 
 /**
  * The UDP socket for probes between routers. Datagrams may be lost; what is not a message is dropped.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLink.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLink.kt
@@ -22,10 +22,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.cicadaarch.core.PeerMessage
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.protocol.PeerCodec
-import org.cicadaarch.router.observation.LogEvents
 import org.cicadaarch.router.runtime.MonotonicClock
 
 /**
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
@@ -19,10 +19,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.cicadaarch.core.PeerMessage
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.protocol.PeerCodec
-import org.cicadaarch.router.observation.LogEvents
 
 /**
  * The connections to and from other routers: Ktor sockets that carry [PeerCodec] frames.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/EffectRunner.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/EffectRunner.kt
@@ -13,8 +13,6 @@
 import org.cicadaarch.orders.OrderResult
 import org.cicadaarch.orders.OrdersEffect
 import org.cicadaarch.orders.OrdersEvent
-import org.cicadaarch.platform.Store
-import org.cicadaarch.platform.VirtualMachineList
 import org.cicadaarch.request.AttemptFailure
 import org.cicadaarch.request.IngressEffect
 import org.cicadaarch.request.IngressEvent
@@ -25,6 +23,8 @@
 import org.cicadaarch.router.target.EngineControl
 import org.cicadaarch.router.target.TargetAddress
 import org.cicadaarch.router.target.TargetProbe
+import org.cicadaarch.store.Store
+import org.cicadaarch.store.VirtualMachineList
 
 /**
  * Carries out the reducer's effects and hands their answers back as events.
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/runtime/ReducerLoop.kt
@@ -8,7 +8,7 @@
 import org.cicadaarch.core.RouterEvent
 import org.cicadaarch.core.RouterReducer
 import org.cicadaarch.core.RouterState
-import org.cicadaarch.router.observation.LogEvents
+import org.cicadaarch.logging.LogEvents
 
 /**
  * Runs the reducer on one thread: events in the order of their submission, effects after each event.
--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
+++ b/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
@@ -36,8 +36,8 @@
 import org.cicadaarch.model.store.ExpectedState
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
-import org.cicadaarch.platform.EtcdStore
 import org.cicadaarch.router.settings.RouterSettings
+import org.cicadaarch.store.EtcdStore
 import org.cicadaarch.testkit.EngineOptions
 import org.cicadaarch.testkit.EngineStandIn
 import org.cicadaarch.testkit.PlainServiceStandIn
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/Base64TextSerializer.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/Base64TextSerializer.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import java.util.Base64
 import kotlinx.serialization.KSerializer
@@ -11,7 +11,7 @@
  * Writes UTF-8 text as base64.
  */
 internal object Base64TextSerializer : KSerializer<String> {
-    override val descriptor = PrimitiveSerialDescriptor("org.cicadaarch.platform.Base64Text", PrimitiveKind.STRING)
+    override val descriptor = PrimitiveSerialDescriptor("org.cicadaarch.store.Base64Text", PrimitiveKind.STRING)
 
     override fun serialize(encoder: Encoder, value: String) =
         encoder.encodeString(Base64.getEncoder().encodeToString(value.toByteArray()))
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/EtcdStore.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdStore.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpMethod
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpCall.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpCall.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -12,7 +12,7 @@
 /**
  * An HTTP request with a JSON [body], empty for none.
  */
-internal data class HttpCall(val method: HttpMethod, val path: String, val body: String = "") {
+data class HttpCall(val method: HttpMethod, val path: String, val body: String = "") {
     /** The request to [endpoint] as Netty writes it. */
     fun toRequest(endpoint: InetSocketAddress): FullHttpRequest {
         val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpClient.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
@@ -22,7 +22,7 @@
  *
  * Every call ends in exactly one [HttpOutcome], within its timeout. The event loops belong to the caller.
  */
-internal class HttpClient(private val eventLoopGroup: EventLoopGroup, private val endpoint: InetSocketAddress) :
+class HttpClient(private val eventLoopGroup: EventLoopGroup, private val endpoint: InetSocketAddress) :
     AutoCloseable {
     private val idle = ConcurrentLinkedDeque<Channel>()
     private val open = DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true)
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpExchangeHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpExchangeHandler.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/HttpOutcome.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpOutcome.kt
@@ -1,9 +1,9 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 /**
  * How one HTTP exchange ended.
  */
-internal sealed class HttpOutcome {
+sealed class HttpOutcome {
     /** A whole answer came with [status] and [body]. */
     data class Answered(val status: Int, val body: String) : HttpOutcome()
 
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/PlatformError.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/PlatformError.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 /**
  * Why a call to the platform failed.
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/Store.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/Store.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
--- a/cicadaarch-platform/src/main/kotlin/org/cicadaarch/platform/VirtualMachineEntry.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/VirtualMachineEntry.kt
@@ -1,4 +1,4 @@
-package org.cicadaarch.platform
+package org.cicadaarch.store
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/StoreStandInTest.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/StoreStandInTest.kt
@@ -17,7 +17,7 @@
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.model.store.StoredValue
-import org.cicadaarch.platform.EtcdStore
+import org.cicadaarch.store.EtcdStore
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 
--- a/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/VirtualMachineListStandInTest.kt
+++ b/cicadaarch-testkit/src/test/kotlin/org/cicadaarch/testkit/VirtualMachineListStandInTest.kt
@@ -15,9 +15,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.ZoneName
-import org.cicadaarch.platform.HttpVirtualMachineList
-import org.cicadaarch.platform.PlatformError
-import org.cicadaarch.platform.VirtualMachine
+import org.cicadaarch.store.HttpVirtualMachineList
+import org.cicadaarch.store.PlatformError
+import org.cicadaarch.store.VirtualMachine
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/Connections.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Connections.kt
@@ -8,7 +8,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
-import org.cicadaarch.platform.EtcdStore
+import org.cicadaarch.store.EtcdStore
 
 /**
  * The connections of one command; closed when it ends.
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStore.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStore.kt
@@ -11,7 +11,7 @@
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.model.store.StoredValue
-import org.cicadaarch.platform.Store
+import org.cicadaarch.store.Store
 
 /**
  * Reads and writes the fleet document in the platform's [store], trying each [attempts] times.
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/StoreCaller.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/StoreCaller.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
-import org.cicadaarch.platform.Store
+import org.cicadaarch.store.Store
 
 /**
  * Calls [store] and waits for each answer, for at most [timeout].
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/LossyStore.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/LossyStore.kt
@@ -4,7 +4,7 @@
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.model.store.StoredValue
-import org.cicadaarch.platform.Store
+import org.cicadaarch.store.Store
 
 /**
  * The document's key with its history; [faults] strike one write after the other, then none do.
