Take missing targets as gone although others change meanwhile

A target was removed from the store 0.06 s before the settle time after a regained store was over. Its value was kept as missing, and the next change of another target took the kept value for a present one, so it was never removed. Ruled out: slow notice of the change (the change was seen within 10 ms). Change: changes apply to the values without the missing ones. Test first failed (FollowReducerTest, others change meanwhile).

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -100,7 +100,7 @@
         result: StoreResult.Values,
         now: Timestamp,
     ): Step<FollowState, FollowEffect> {
-        val values = state.values.toMutableMap()
+        val values = (state.values - state.missing.keys).toMutableMap()
         result.values.sortedBy { it.revision }.forEach { item: StoredValue ->
             val value = item.value
             if (value == null) values.remove(item.key) else values[item.key] = value
--- /dev/null
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
@@ -0,0 +1,129 @@
+package org.cicadaarch.dispatch.follow
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.model.store.StoredValue
+
+class FollowReducerTest {
+    private val reducer = FollowReducer(prefix = "targets/", settleTime = 2.seconds)
+    private var state = FollowState()
+    private var now = Timestamp(0)
+    private var effects = emptyList<FollowEffect>()
+
+    @Test
+    fun `Given a first read in two pages, when both came, then all values are known and changes are awaited`() {
+        submit(FollowEvent.Started)
+        answer(StoreResult.Values(listOf(value("targets/a", 1)), revision = 5, hasMore = true))
+        assertEquals("targets/a\u0000", assertIs<StoreCommand.ReadPrefix>(lastCall().command).from)
+        answer(StoreResult.Values(listOf(value("targets/b", 2)), revision = 7))
+        assertEquals(setOf("targets/a", "targets/b"), state.values.keys)
+        assertEquals(5, assertIs<StoreCommand.AwaitChange>(lastCall().command).afterRevision)
+    }
+
+    @Test
+    fun `Given a known value, when it is deleted while the store is up, then it is gone at once`() {
+        follow("a", "b")
+        answer(deleted("targets/a", revision = 9))
+        assertEquals(setOf("targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given an outage, when it lasts, then no value is removed`() {
+        follow("a")
+        answer(StoreResult.Unanswered("silence"))
+        now += 60.seconds
+        submit(FollowEvent.Tick)
+        assertEquals(setOf("targets/a"), state.values.keys)
+        assertIs<FollowEffect.Call>(effects.last())
+    }
+
+    @Test
+    fun `Given a value missing after an outage, when it does not come back, then it is gone after the settle time`() {
+        follow("a", "b")
+        loseAndRegain()
+        answer(deleted("targets/a", revision = 9))
+        assertEquals(setOf("targets/a", "targets/b"), state.values.keys)
+        now += 2.seconds
+        submit(FollowEvent.Tick)
+        assertEquals(setOf("targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given a value missing after an outage, when others change meanwhile, then it is gone after the settle time`() {
+        follow("a", "b")
+        loseAndRegain()
+        answer(deleted("targets/a", revision = 9))
+        now += 100.milliseconds
+        answer(StoreResult.Values(listOf(value("targets/c", 10)), revision = 10))
+        assertEquals(setOf("targets/a", "targets/b", "targets/c"), state.values.keys)
+        now += 2.seconds
+        submit(FollowEvent.Tick)
+        assertEquals(setOf("targets/b", "targets/c"), state.values.keys)
+    }
+
+    @Test
+    fun `Given a value missing after an outage, when it comes back, then it stays`() {
+        follow("a", "b")
+        loseAndRegain()
+        answer(deleted("targets/a", revision = 9))
+        answer(StoreResult.Values(listOf(value("targets/a", 10)), revision = 10))
+        now += 3.seconds
+        submit(FollowEvent.Tick)
+        assertEquals(setOf("targets/a", "targets/b"), state.values.keys)
+        assertTrue(state.missing.isEmpty())
+    }
+
+    @Test
+    fun `Given the history is lost, when a change is awaited, then everything is read again`() {
+        follow("a", "b")
+        answer(StoreResult.HistoryLost)
+        assertIs<StoreCommand.ReadPrefix>(lastCall().command)
+        answer(StoreResult.Values(listOf(value("targets/b", 2)), revision = 12))
+        assertEquals(setOf("targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given a late answer to an earlier call, when it comes, then it changes nothing`() {
+        follow("a")
+        val before = state
+        submit(FollowEvent.Answered(state.call - 1, deleted("targets/a", revision = 9)))
+        assertEquals(before, state)
+    }
+
+    private fun follow(vararg names: String) {
+        submit(FollowEvent.Started)
+        answer(StoreResult.Values(names.mapIndexed { index, name -> value("targets/$name", index + 1L) }, revision = 8))
+    }
+
+    private fun loseAndRegain() {
+        answer(StoreResult.Unanswered("silence"))
+        now += 5.seconds
+        submit(FollowEvent.Tick)
+        answer(StoreResult.Values(emptyList(), revision = 8))
+    }
+
+    private fun answer(result: StoreResult) = submit(FollowEvent.Answered(state.call, result))
+
+    private fun submit(event: FollowEvent) {
+        val step = reducer.reduce(state, event, now)
+        state = step.state
+        effects = step.effects
+    }
+
+    private fun lastCall(): FollowEffect.Call = effects.filterIsInstance<FollowEffect.Call>().last()
+
+    private fun value(key: String, revision: Long) =
+        StoredValue(key = key, value = "value of $key", createRevision = revision, revision = revision)
+
+    private fun deleted(key: String, revision: Long) = StoreResult.Values(
+        values = listOf(StoredValue(key = key, value = null, createRevision = 0, revision = revision)),
+        revision = revision,
+    )
+}
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnections.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnections.kt
@@ -13,6 +13,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.forwarding.format.HeaderFormat
+import org.cicadaarch.store.KeepAliveProbes
 
 /**
  * The connections to targets. All functions run on [eventLoop].
@@ -56,6 +57,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+            .also { KeepAliveProbes.enable(it) }
             .handler(ConnectionInitializer(connection))
             .connect(InetSocketAddress(key.host, key.port))
             .addListener { future ->
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
@@ -96,6 +96,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMilliseconds(timeout))
+            .also { KeepAliveProbes.enable(it) }
             .handler(PipelineInitializer(handlers))
             .connect(endpoint)
             .addListener { future -> onDone(future as ChannelFuture) }
--- /dev/null
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/KeepAliveProbes.kt
@@ -0,0 +1,24 @@
+package org.cicadaarch.store
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioChannelOption
+import jdk.net.ExtendedSocketOptions
+
+/**
+ * Has the kernel find out within three seconds that the other end of an idle connection is gone.
+ */
+object KeepAliveProbes {
+    private const val IDLE_SECONDS = 1
+    private const val INTERVAL_SECONDS = 1
+    private const val LOST_PROBES = 2
+
+    /** Turns the probes on for connections of [bootstrap]. */
+    fun enable(bootstrap: Bootstrap) {
+        bootstrap
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), LOST_PROBES)
+    }
+}
