Let a target copy the cache of a prompt's earlier home, and keep the load bound itself

A prompt left its home whenever the home had 0.8 x 2 x mean + 2 requests, by counts of other routers up to three seconds old, and when targets join or leave. Change: the bound is the users' (factor x mean + 3); counts of other routers fade within a second; each attempt names the target that served the prompt last, or the best other one of its order, as a source of cache.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -7,9 +7,17 @@
  * What the dispatch wants done.
  */
 sealed class DispatchEffect {
-    /** Send the request to [target], which may work on it for [timeLeft]. */
-    data class Send(val id: ExchangeId, val attempt: Int, val target: TargetEntry, val timeLeft: Duration) :
-        DispatchEffect()
+    /**
+     * Send the request to [target], which may work on it for [timeLeft] and may copy what [cacheSource] keeps of its
+     * prompt.
+     */
+    data class Send(
+        val id: ExchangeId,
+        val attempt: Int,
+        val target: TargetEntry,
+        val timeLeft: Duration,
+        val cacheSource: TargetEntry? = null,
+    ) : DispatchEffect()
 
     /** Break off the attempt on its target. */
     data class Cancel(val id: ExchangeId, val attempt: Int) : DispatchEffect()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -23,7 +23,7 @@
     private val now: Timestamp,
 ) {
     private val effects = mutableListOf<DispatchEffect>()
-    private val choice = TargetChoice(settings.zone, loadBoundFactor = settings.imbalanceFactor * BOUND_PART)
+    private val choice = TargetChoice(settings.zone, settings.imbalanceFactor)
 
     fun step(): Step<DispatchState, DispatchEffect> = Step(state, effects)
 
@@ -162,9 +162,8 @@
 
     private fun chooseFor(open: OpenRequest, excluded: Set<TargetId>): TargetState? {
         val request = open.request
-        val targets = state.targets.values.filter { it.entry.service == request.service }
         val wish = TargetWish(request.promptKey, excluded, spread = request.id.value.hashCode())
-        return choice.choose(targets, wish, now)
+        return choice.choose(targetsOf(request.service), wish, now)
     }
 
     private fun send(open: OpenRequest, target: TargetState) {
@@ -179,9 +178,24 @@
             ),
         )
         updateTarget(id) { it.sent(now) }
-        effects += DispatchEffect.Send(open.request.id, attempt, target.entry, timeLeft = open.endsAt - now)
+        effects += DispatchEffect.Send(
+            id = open.request.id,
+            attempt = attempt,
+            target = target.entry,
+            timeLeft = open.endsAt - now,
+            cacheSource = open.request.promptKey?.let { cacheSource(open.request.service, it, id) },
+        )
+    }
+
+    private fun cacheSource(service: ServiceName, promptKey: String, chosen: TargetId): TargetEntry? {
+        val holder = state.holders.holderOf(promptKey)
+        state = state.copy(holders = state.holders.sent(promptKey, chosen))
+        return choice.cacheSource(targetsOf(service), promptKey, chosen, holder, now)?.entry
     }
 
+    private fun targetsOf(service: ServiceName): List<TargetState> =
+        state.targets.values.filter { it.entry.service == service }
+
     private fun cancelRunning(open: OpenRequest) {
         val running = open.phase as? Running ?: return
         updateTarget(running.target) { it.released() }
@@ -239,9 +253,6 @@
         /** Targets asked for one request, those that refused included. */
         const val MOST_ATTEMPTS = 4
 
-        /** The part of the imbalance allowed by the settings that is aimed at, as counts of other routers lag. */
-        const val BOUND_PART = 0.8
-
         /** The part of the retry ratio that is used, as the fleet's count differs a little from this router's. */
         const val RATIO_PART = 0.9
         val LEAST_TIME_LEFT = 20.milliseconds
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetChoice.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetChoice.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.dispatch.target
 
+import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.ZoneName
 import org.cicadaarch.placement.RendezvousHash
@@ -10,13 +11,29 @@
  * Requests with a prompt go to the first of their rendezvous order that is below the load bound, so that equal prompts
  * meet the cache of one target. Others go to the least loaded target, on a tie in the own [zone].
  */
-class TargetChoice(private val zone: ZoneName, private val loadBoundFactor: Double) {
+class TargetChoice(private val zone: ZoneName, private val imbalanceFactor: Double) {
     /** The target for [wish] among [targets]. */
     fun choose(targets: Collection<TargetState>, wish: TargetWish, now: Timestamp): TargetState? {
         val usable = usable(targets, wish, now)
         return if (wish.promptKey == null) leastLoaded(usable, wish, now) else byPrompt(usable, wish.promptKey, now)
     }
 
+    /**
+     * The target from which [chosen] could copy what is cached of [promptKey]: the one that served it last, else the
+     * best of its rendezvous order, which is its earlier home when [chosen] has just joined.
+     */
+    fun cacheSource(
+        targets: Collection<TargetState>,
+        promptKey: String,
+        chosen: TargetId,
+        holder: TargetId?,
+        now: Timestamp,
+    ): TargetState? {
+        val others = targets.filter { it.entry.id != chosen && !it.isAvoided(now) && !it.isSilent(now) }
+        return others.firstOrNull { it.entry.id == holder }
+            ?: RendezvousHash.first(key = promptKey, members = others, name = { it.entry.id.value })
+    }
+
     private fun usable(targets: Collection<TargetState>, wish: TargetWish, now: Timestamp): List<TargetState> {
         val open = targets.filter { !it.entry.isDraining && it.entry.id !in wish.excluded }
         val meanErrorRate = open.sumOf { it.errorRate } / open.size.coerceAtLeast(1)
@@ -29,7 +46,7 @@
 
     private fun byPrompt(targets: List<TargetState>, key: String, now: Timestamp): TargetState? {
         val mean = targets.sumOf { it.load(now) } / targets.size.coerceAtLeast(1)
-        val bound = loadBoundFactor * mean + LOAD_BOUND_SLACK
+        val bound = imbalanceFactor * mean + LOAD_BOUND_SLACK
         val free = targets.filter { it.load(now) + 1 <= it.entry.slots }
         return RendezvousHash.rank(key = key, members = free, name = { it.entry.id.value })
             .firstOrNull { it.load(now) + 1 <= bound }
@@ -45,8 +62,8 @@
         )
 
     private companion object {
-        /** Requests that a target may have beyond the bound when the mean is small. */
-        const val LOAD_BOUND_SLACK = 2.0
+        /** Requests that a target may have beyond the multiple of the mean, which alone is too strict for small means. */
+        const val LOAD_BOUND_SLACK = 3.0
         const val OUTLIER_ERROR_RATE = 0.3
 
         /** A plain target may have as many requests waiting as it runs. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -68,6 +68,6 @@
         const val ERROR_WEIGHT = 0.15
 
         /** Requests of other routers at the time of a report have mostly ended after this time. */
-        val REPORT_LIFETIME = 3.seconds
+        val REPORT_LIFETIME = 1.seconds
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
@@ -27,6 +27,7 @@
 import org.cicadaarch.forwarding.target.AnswerListener
 import org.cicadaarch.forwarding.target.TargetConnection
 import org.cicadaarch.forwarding.target.TargetKey
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 
@@ -280,6 +281,7 @@
                     timeLeft = effect.timeLeft,
                     priority = context.dispatched.priority,
                     resumesAfter = lastEventId ?: context.resumesAfter,
+                    cacheSource = effect.cacheSource?.let { RouterAddress(it.host, it.port) },
                 ),
             )
             if (request.body.isReadable) headers.setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.readableBytes())
