Take no request after the balancer's notice, as a stream could not end in the grace period

Ruled out: the balancer as the only cause (idle connections were closed only every 50 ms, so kept ones were used again). Change: when the notice of 2.5 s is over, the listener is closed and requests on open connections are refused as not run.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetChoice.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetChoice.kt
@@ -62,7 +62,7 @@
         )
 
     private companion object {
-        /** Requests that a target may have beyond the multiple of the mean, which alone is too strict for small means. */
+        /** Requests that a target may have beyond the multiple, which is too strict for small means. */
         const val LOAD_BOUND_SLACK = 3.0
         const val OUTLIER_ERROR_RATE = 0.3
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Shuts down gracefully: is not ready for [BALANCER_NOTICE] while it still takes connections, then closes idle
-     * connections and ends when none is left, or shortly before the grace period is over.
+     * Shuts down gracefully: is not ready for [BALANCER_NOTICE] while it still takes requests, then takes none, closes
+     * idle connections and ends when none is left, or shortly before the grace period is over.
      */
     fun stop() {
         if (!stopping.compareAndSet(false, true)) {
@@ -87,6 +87,7 @@
         LogEvents.info("router-draining") { "openRequests" to exchanges.size }
         onEventLoop { callers.drain() }
         Thread.sleep(BALANCER_NOTICE.inWholeMilliseconds)
+        onEventLoop { callers.stop() }
         while (System.nanoTime() < deadline && openConnections() > 0) {
             onEventLoop { callers.closeIdle() }
             Thread.sleep(DRAIN_POLL.inWholeMilliseconds)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerHandler.kt
@@ -189,7 +189,7 @@
             val head = current.head
             val opened = Exchange(CallerRequest(head.method(), head.uri(), head.headers(), current.body), this)
             exchange = opened
-            listener.exchanges.open(opened)
+            if (listener.isStopped) listener.exchanges.refuseStopped(opened) else listener.exchanges.open(opened)
         }
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerListener.kt
@@ -27,6 +27,10 @@
     var isDraining = false
         private set
 
+    /** Whether requests that come are refused as not run. */
+    var isStopped = false
+        private set
+
     /** The limits in force. */
     val limits: CallerLimits get() = exchanges.limits
 
@@ -55,8 +59,9 @@
     /** Closes the connections that carry no request. */
     fun closeIdle() = handlers.toList().forEach { it.closeIfIdle() }
 
-    /** Takes no more connections. */
+    /** Takes neither connections nor requests from now on: a stream could not end before this process does. */
     fun stop() {
+        isStopped = true
         serverChannel?.close()
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
@@ -67,6 +67,9 @@
         submit(DispatchEvent.TargetsChanged(entries))
     }
 
+    /** Refuses [exchange] as this router is about to end. */
+    fun refuseStopped(exchange: Exchange) = refuse(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping")
+
     /** Begins to serve [exchange], or refuses it. */
     fun open(exchange: Exchange) {
         val routes = table ?: return refuse(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration")
