Let routers tell each other the newest values of the store

Ruled out: shorter watches (every call is priced, and they do not help while the store refuses); leased entries of routers in the store (a call a router and renewal, and of no use without the store).

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import org.cicadaarch.dispatch.follow.FollowState.Phase
 import org.cicadaarch.model.Step
@@ -23,6 +24,7 @@
     fun reduce(state: FollowState, event: FollowEvent, now: Timestamp): Step<FollowState, FollowEffect> = when (event) {
         FollowEvent.Started -> read(state)
         is FollowEvent.Answered -> if (event.call == state.call) answered(state, event.result, now) else Step(state)
+        is FollowEvent.Relayed -> relayed(state, event)
         FollowEvent.Tick -> tick(state, now)
     }
 
@@ -65,6 +67,14 @@
         }
     }
 
+    /** The other router was told by the store, so what it lacks is gone. A call that is under way goes on. */
+    private fun relayed(state: FollowState, event: FollowEvent.Relayed): Step<FollowState, FollowEffect> {
+        if (event.revision <= state.revision) return Step(state)
+        val values = event.values.toPersistentMap()
+        val next = state.copy(values = values, missing = persistentMapOf(), revision = event.revision)
+        return Step(next, if (values == state.values) emptyList() else listOf(FollowEffect.Changed(values)))
+    }
+
     private fun regained(state: FollowState, now: Timestamp): Step<FollowState, FollowEffect> = when (state.failures) {
         0 -> Step(state)
         else -> Step(state.copy(failures = 0, regainedAt = now), listOf(FollowEffect.StoreRegained))
@@ -92,6 +102,7 @@
         if (page.hasMore && last != null) {
             return call(state, Phase.Reading(read, revision), pageFrom(last + AFTER_KEY))
         }
+        if (revision < state.revision) return watch(state)
         return replaced(state, read, now).then { watch(it.copy(revision = revision)) }
     }
 
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
@@ -97,6 +97,24 @@
         assertEquals(before, state)
     }
 
+    @Test
+    fun `Given a router that the store refuses, when another one has newer values, then they replace its own`() {
+        follow("a", "b")
+        answer(StoreResult.Refused("busy"))
+        submit(FollowEvent.Relayed(mapOf("targets/b" to "new"), revision = 12))
+        assertEquals(mapOf("targets/b" to "new"), state.values.toMap())
+        now += 1.seconds
+        submit(FollowEvent.Tick)
+        assertEquals(12, assertIs<StoreCommand.AwaitChange>(lastCall().command).afterRevision)
+    }
+
+    @Test
+    fun `Given values, when another router relays older ones, then they are ignored`() {
+        follow("a")
+        submit(FollowEvent.Relayed(emptyMap(), revision = 8))
+        assertEquals(setOf("targets/a"), state.values.keys)
+    }
+
     private fun follow(vararg names: String) {
         submit(FollowEvent.Started)
         answer(StoreResult.Values(names.mapIndexed { index, name -> value("targets/$name", index + 1L) }, revision = 8))
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.forwarding
 
 import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -14,6 +15,9 @@
 import org.cicadaarch.forwarding.fleet.FollowRunner
 import org.cicadaarch.forwarding.format.FleetFormat
 import org.cicadaarch.forwarding.format.HeaderFormat
+import org.cicadaarch.forwarding.http.HttpEndpoint
+import org.cicadaarch.forwarding.http.HttpReply
+import org.cicadaarch.forwarding.peer.PeerExchange
 import org.cicadaarch.forwarding.target.TargetConnections
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.store.Store
@@ -35,12 +39,13 @@
     private val connections = TargetConnections(eventLoop, headerFormat)
     private val exchanges = Exchanges(eventLoop, DispatchReducer(settings.dispatch), connections, headerFormat)
     private val callers = CallerListener(settings.callerAddress, eventLoops, exchanges)
-    private val readiness = ReadinessListener(
-        address = settings.readinessAddress,
-        path = settings.readinessPath,
-        eventLoops = eventLoops,
-        isReady = { exchanges.table != null && !stopping.get() },
-    )
+    private val readiness = HttpEndpoint(settings.readinessAddress, eventLoops) { uri ->
+        when {
+            uri != settings.readinessPath -> HttpReply(HttpResponseStatus.NOT_FOUND)
+            exchanges.table != null && !stopping.get() -> HttpReply(HttpResponseStatus.OK)
+            else -> HttpReply(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        }
+    }
     private val reader = FleetReader(fleetFormat, exchanges::install, exchanges::targetsChanged)
     private val configuration = FollowRunner(
         prefix = fleetFormat.configurationPrefix,
@@ -57,14 +62,27 @@
         onChange = reader::targetsChanged,
     )
 
+    private val peers = PeerExchange(
+        self = settings.peerAddress,
+        seeds = settings.seedPeers,
+        eventLoops = eventLoops,
+        eventLoop = eventLoop,
+        followers = mapOf(
+            fleetFormat.configurationPrefix to configuration,
+            fleetFormat.targetPrefix to targets,
+        ),
+    )
+
     /** Starts everything; fails with an exception when an address is taken. */
     fun start() {
         readiness.start()
+        peers.listen()
         callers.start()
         eventLoop.execute {
             connections.start()
             configuration.start()
             targets.start()
+            peers.start()
         }
         LogEvents.info("router-started") {
             "router" to settings.name
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
@@ -23,12 +23,27 @@
     private val onChange: (Map<String, String>) -> Unit,
 ) {
     private val reducer = FollowReducer(prefix, settleTime)
-    private var state = FollowState()
+
+    /** What is known of the prefix. */
+    var state = FollowState()
+        private set
     private var timer: ScheduledFuture<*>? = null
 
     /** Starts to follow. */
     fun start() = submit(FollowEvent.Started)
 
+    /** Takes over what another router knows, if that is newer. */
+    fun relay(values: Map<String, String>, revision: Long) {
+        if (revision > state.revision) {
+            LogEvents.info("values-relayed") {
+                "prefix" to prefix
+                "revision" to revision
+                "before" to state.revision
+            }
+        }
+        submit(FollowEvent.Relayed(values, revision))
+    }
+
     private fun submit(event: FollowEvent) {
         val step = reducer.reduce(state, event, EventLoopClock.now())
         state = step.state
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ReadinessListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -1,36 +1,40 @@
-package org.cicadaarch.forwarding
+package org.cicadaarch.forwarding.http
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Tells the balancer at [address] under [path] whether this router wants new connections.
+ * Listens at [address] and answers each request by its target, path and query, with what [reply] gives. Bodies of
+ * requests are ignored.
  */
-internal class ReadinessListener(
+internal class HttpEndpoint(
     private val address: RouterAddress,
-    private val path: String,
     private val eventLoops: EventLoopGroup,
-    private val isReady: () -> Boolean,
+    private val reply: (String) -> HttpReply,
 ) {
     /** Binds the address; throws when it is taken. */
     fun start() {
         ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(ConnectionInitializer())
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
@@ -42,22 +46,27 @@
         }
     }
 
-    private inner class Answering : SimpleChannelInboundHandler<Any>() {
-        override fun channelRead0(context: ChannelHandlerContext, message: Any) {
-            if (message !is HttpRequest) return
-            val status = when {
-                message.uri() != path -> HttpResponseStatus.NOT_FOUND
-                isReady() -> HttpResponseStatus.OK
-                else -> HttpResponseStatus.SERVICE_UNAVAILABLE
+    private inner class Answering : SimpleChannelInboundHandler<HttpObject>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+            if (message.decoderResult().isFailure) {
+                context.close()
+            } else if (message is HttpRequest) {
+                write(context, reply(message.uri()))
             }
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
-            context.writeAndFlush(response)
         }
 
         @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            LogEvents.debug("endpoint-connection-failed") { "reason" to cause }
             context.close()
         }
+
+        private fun write(context: ChannelHandlerContext, answer: HttpReply) {
+            val content = Unpooled.copiedBuffer(answer.body, Charsets.UTF_8)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status, content)
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+            if (answer.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+            context.writeAndFlush(response)
+        }
     }
 }
--- a/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogEvents.kt
+++ b/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogEvents.kt
@@ -8,6 +8,11 @@
 object LogEvents {
     private val logger = KotlinLogging.logger("cicadaarch")
 
+    /** Logs [event] for a closer look, off unless the level is lowered. */
+    fun debug(event: String, fields: LogFields.() -> Unit = {}) {
+        logger.debug { line(event, fields) }
+    }
+
     /** Logs [event] with the [fields] as ordinary information. */
     fun info(event: String, fields: LogFields.() -> Unit = {}) {
         logger.info { line(event, fields) }
