Serve metrics, read changed settings, and bound the log

Cause: on-call engineers had no metrics of the platform's router, SIGHUP did nothing, a file that changed unannounced was not noticed, and a reader of standard output that stops could stop the router.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import org.cicadaarch.dispatch.request.DispatchReducer
+import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.forwarding.caller.CallerListener
 import org.cicadaarch.forwarding.exchange.Exchanges
 import org.cicadaarch.forwarding.fleet.FleetReader
@@ -17,6 +17,7 @@
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.forwarding.http.HttpEndpoint
 import org.cicadaarch.forwarding.http.HttpReply
+import org.cicadaarch.forwarding.observation.ForwardingMetrics
 import org.cicadaarch.forwarding.peer.PeerExchange
 import org.cicadaarch.forwarding.target.TargetConnections
 import org.cicadaarch.logging.LogEvents
@@ -31,16 +32,18 @@
     private val eventLoops: EventLoopGroup,
     store: Store,
     headerFormat: HeaderFormat,
-    fleetFormat: FleetFormat,
+    private val fleetFormat: FleetFormat,
 ) {
     private val eventLoop = eventLoops.next()
     private val stopping = AtomicBoolean()
     private val stopped = CountDownLatch(1)
     private val connections = TargetConnections(eventLoop, headerFormat)
-    private val exchanges = Exchanges(eventLoop, DispatchReducer(settings.dispatch), connections, headerFormat)
+    private val metrics = ForwardingMetrics()
+    private val exchanges = Exchanges(eventLoop, settings.dispatch, connections, headerFormat, metrics)
     private val callers = CallerListener(settings.callerAddress, eventLoops, exchanges)
     private val readiness = HttpEndpoint(settings.readinessAddress, eventLoops) { uri ->
         when {
+            uri == METRICS_PATH -> HttpReply(HttpResponseStatus.OK, metrics.text())
             uri != settings.readinessPath -> HttpReply(HttpResponseStatus.NOT_FOUND)
             exchanges.table != null && !stopping.get() -> HttpReply(HttpResponseStatus.OK)
             else -> HttpReply(HttpResponseStatus.SERVICE_UNAVAILABLE)
@@ -67,14 +70,12 @@
         seeds = settings.seedPeers,
         eventLoops = eventLoops,
         eventLoop = eventLoop,
-        followers = mapOf(
-            fleetFormat.configurationPrefix to configuration,
-            fleetFormat.targetPrefix to targets,
-        ),
+        followers = followers(),
     )
 
     /** Starts everything; fails with an exception when an address is taken. */
     fun start() {
+        registerGauges()
         readiness.start()
         peers.listen()
         callers.start()
@@ -92,6 +93,9 @@
         }
     }
 
+    /** Keeps the bounds of [dispatch] from now on; addresses and the store stay those of the start. */
+    fun reconfigure(dispatch: DispatchSettings) = eventLoop.execute { exchanges.reconfigure(dispatch) }
+
     /**
      * Shuts down gracefully: is not ready for [BALANCER_NOTICE] while it still takes requests, then takes none, closes
      * idle connections and ends when none is left, or shortly before the grace period is over.
@@ -117,6 +121,32 @@
     /** Waits until [stop] is done. */
     fun awaitStopped() = stopped.await()
 
+    private fun registerGauges() {
+        metrics.gauge("cicadaarch_target_load", "Requests that this router believes a target to have.", "target") {
+            val now = EventLoopClock.now()
+            exchanges.state.targets.values.associate { it.entry.id.value to it.load(now) }
+        }
+        metrics.gauge("cicadaarch_retry_budget", "Attempts after the first that are still allowed.", "service") {
+            exchanges.state.budgets.entries.associate { (service, budget) -> service.value to budget.tokens }
+        }
+        metrics.gauge("cicadaarch_store_revision", "The store's revision that is known, by prefix.", "prefix") {
+            followers().mapValues { it.value.state.revision.toDouble() }
+        }
+        metrics.gauge("cicadaarch_store_failures", "Calls that failed since the last good one, by prefix.", "prefix") {
+            followers().mapValues { it.value.state.failures.toDouble() }
+        }
+        metrics.gauge("cicadaarch_router", "The configuration's version and what is open.", "value") {
+            mapOf(
+                "configuration-version" to (exchanges.table?.version ?: 0L).toDouble(),
+                "open-requests" to exchanges.size.toDouble(),
+                "caller-connections" to callers.openConnections.toDouble(),
+            )
+        }
+    }
+
+    private fun followers(): Map<String, FollowRunner> =
+        mapOf(fleetFormat.configurationPrefix to configuration, fleetFormat.targetPrefix to targets)
+
     private fun openConnections(): Int = eventLoop.submit<Int> { callers.openConnections }.get(1, TimeUnit.SECONDS)
 
     private fun onEventLoop(action: () -> Unit) {
@@ -124,6 +154,8 @@
     }
 
     private companion object {
+        const val METRICS_PATH = "/metrics"
+
         /** A target whose entry lapsed with the store's outage is back within two seconds if it lives. */
         val TARGET_SETTLE_TIME = 2200.milliseconds
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
@@ -211,12 +211,12 @@
             val rest = checkNotNull(splitter).takeRest()
             if (rest.isReadable) deliverEvent(rest) else rest.release()
             if (!isDelivering) beginDelivery()
+            val result = AttemptResult.Answered(status.code(), isDelivered = true)
             isOver = true
-            caller.end()
+            context.attemptEnded(number, target, result)
             context.ended(status.code(), reason = null)
-            context.submit(
-                DispatchEvent.AttemptEnded(context.dispatched.id, number, AttemptResult.Answered(status.code(), true)),
-            )
+            caller.end()
+            context.submit(DispatchEvent.AttemptEnded(context.dispatched.id, number, result))
         }
 
         private fun deliverEvent(event: ByteBuf) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -6,6 +6,8 @@
 import org.cicadaarch.dispatch.routing.ClientAccount
 import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.forwarding.format.HeaderFormat
+import org.cicadaarch.forwarding.observation.ForwardingMetrics
+import org.cicadaarch.forwarding.observation.RequestPhase
 import org.cicadaarch.forwarding.target.TargetConnections
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.TargetId
@@ -21,6 +23,7 @@
     val version: Long,
     val connections: TargetConnections,
     val format: HeaderFormat,
+    private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
     private val onEnd: (Exchange) -> Unit,
     private val exchange: Exchange,
@@ -33,12 +36,14 @@
     /** The first part of an answer was given to the caller. */
     fun delivering() {
         firstPartMillis = millis()
+        metrics.took(dispatched.route, RequestPhase.FIRST_PART, EventLoopClock.now() - begunAt)
     }
 
     /** An attempt ended with [result]; failures are logged. */
     fun attemptEnded(number: Int, target: TargetId, result: AttemptResult) {
         attempts = number
         lastTarget = target
+        metrics.attemptEnded(dispatched.service, result)
         if (result is AttemptResult.Answered) return
         LogEvents.info("attempt-failed") {
             "request" to requestId
@@ -51,6 +56,8 @@
 
     /** The request ended with [status] towards the caller, null if its connection was closed, for [reason]. */
     fun ended(status: Int?, reason: String?) {
+        metrics.ended(dispatched.service, status, reason)
+        metrics.took(dispatched.route, RequestPhase.WHOLE, EventLoopClock.now() - begunAt)
         LogEvents.info("request-ended") {
             "request" to requestId
             "route" to dispatched.route.name
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
@@ -12,6 +12,7 @@
 import org.cicadaarch.dispatch.request.DispatchEvent
 import org.cicadaarch.dispatch.request.DispatchReducer
 import org.cicadaarch.dispatch.request.DispatchRequest
+import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.dispatch.request.DispatchState
 import org.cicadaarch.dispatch.request.ExchangeId
 import org.cicadaarch.dispatch.routing.Authorization
@@ -23,6 +24,7 @@
 import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.forwarding.format.RequestMetadata
+import org.cicadaarch.forwarding.observation.ForwardingMetrics
 import org.cicadaarch.forwarding.target.TargetConnections
 import org.cicadaarch.forwarding.target.TargetKey
 import org.cicadaarch.logging.LogEvents
@@ -34,18 +36,23 @@
  */
 internal class Exchanges(
     private val eventLoop: EventLoop,
-    private val reducer: DispatchReducer,
+    settings: DispatchSettings,
     private val connections: TargetConnections,
     private val format: HeaderFormat,
+    private val metrics: ForwardingMetrics,
 ) {
+    private var reducer = DispatchReducer(settings)
     private val open = HashMap<ExchangeId, Exchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isReducing = false
-    private var state = DispatchState()
     private var nextId = 0L
     private var timer: ScheduledFuture<*>? = null
     private var timerAt: Timestamp? = null
 
+    /** What the dispatch knows. */
+    var state = DispatchState()
+        private set
+
     /** The configuration in force, null before the first one came. */
     var table: RoutingTable? = null
         private set
@@ -61,6 +68,11 @@
         table = next
     }
 
+    /** Keeps the bounds of [settings] from now on. */
+    fun reconfigure(settings: DispatchSettings) {
+        reducer = DispatchReducer(settings)
+    }
+
     /** The targets are now [entries]. */
     fun targetsChanged(entries: List<TargetEntry>) {
         connections.retain(entries.mapTo(HashSet()) { TargetKey.of(it) })
@@ -95,6 +107,7 @@
             version = routes.version,
             connections = connections,
             format = format,
+            metrics = metrics,
             submit = ::submit,
             onEnd = ::ended,
             exchange = exchange,
@@ -120,8 +133,14 @@
             priority = account?.priority ?: route.priority,
             timeAllowed = minOf(metadata.deadline ?: route.timeout, route.timeout),
             promptKey = if (route.followsPrompt) shared?.id else null,
-            fingerprint = hash,
-        ).also { check(exchange.request.uri.isNotEmpty()) }
+            fingerprint = fingerprint(exchange, account),
+        )
+    }
+
+    private fun fingerprint(exchange: Exchange, account: ClientAccount?): Long {
+        val body = exchange.request.body
+        return HASH.hashChars("${exchange.request.uri} ${account?.id}") xor
+            HASH.hashBytes(body.array(), body.arrayOffset() + body.readerIndex(), body.readableBytes())
     }
 
     private fun routeOf(routes: RoutingTable, exchange: Exchange): Route? {
@@ -136,6 +155,7 @@
             "reason" to reason
             "version" to table?.version
         }
+        metrics.ended(service = null, status.code(), reason)
         val retryAfter = RETRY_AFTER.takeIf { status == HttpResponseStatus.SERVICE_UNAVAILABLE }
         exchange.refuse(status, retryAfter)
     }
--- /dev/null
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
@@ -0,0 +1,76 @@
+package org.cicadaarch.forwarding.observation
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import org.cicadaarch.dispatch.request.AttemptResult
+import org.cicadaarch.dispatch.routing.Route
+import org.cicadaarch.model.ServiceName
+
+/**
+ * The metrics of a router that forwards by routes, in the Prometheus text format. Labels take values of the
+ * configuration and of this program only.
+ */
+internal class ForwardingMetrics {
+    private val registry = PrometheusRegistry()
+    private val requests = Counter.builder()
+        .name("cicadaarch_requests_total")
+        .help("Requests that ended, by service, status towards the caller (none if the connection ended) and reason.")
+        .labelNames("service", "status", "reason")
+        .register(registry)
+    private val attempts = Counter.builder()
+        .name("cicadaarch_attempts_total")
+        .help("Attempts on targets that ended, by service and result.")
+        .labelNames("service", "result")
+        .register(registry)
+    private val seconds = Histogram.builder()
+        .name("cicadaarch_request_seconds")
+        .help("Time from a request's arrival to the first part and to the end of its answer, by kind and phase.")
+        .labelNames("kind", "phase")
+        .classicOnly()
+        .register(registry)
+
+    /** A request for [service] ended with [status], null if the caller's connection was closed. */
+    fun ended(service: ServiceName?, status: Int?, reason: String?) =
+        requests.labelValues(service?.value ?: NONE, status?.toString() ?: NONE, reason ?: NONE).inc()
+
+    /** An attempt for [service] ended. */
+    fun attemptEnded(service: ServiceName, result: AttemptResult) {
+        val label = when (result) {
+            is AttemptResult.Answered -> "answered"
+            is AttemptResult.NotStarted -> "not-started"
+            is AttemptResult.Broken -> "broken"
+        }
+        attempts.labelValues(service.value, label).inc()
+    }
+
+    /** A [phase] of a request on [route] was over after [time]. */
+    fun took(route: Route, phase: RequestPhase, time: Duration) {
+        val kind = if (route.isStream) "stream" else "plain"
+        seconds.labelValues(kind, phase.label).observe(time.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** Registers a gauge that is read at each scrape: its values by the value of [label]. */
+    fun gauge(name: String, help: String, label: String, read: () -> Map<String, Double>) {
+        GaugeWithCallback.builder()
+            .name(name)
+            .help(help)
+            .labelNames(label)
+            .callback { callback -> read().forEach { (value, number) -> callback.call(number, value) } }
+            .register(registry)
+    }
+
+    /** All metrics as text. */
+    fun text(): String = ByteArrayOutputStream().also { output ->
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+    }.toString(Charsets.UTF_8)
+
+    private companion object {
+        const val NONE = "none"
+    }
+}
--- a/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogEvents.kt
+++ b/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/LogEvents.kt
@@ -3,10 +3,14 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 
 /**
- * Writes one line of key=value pairs for each event.
+ * Writes one line of key=value pairs for each event. Ordinary lines are bounded in number: what is left out is counted
+ * and told with the next line. Warnings and errors are always written.
  */
 object LogEvents {
+    private const val STACK_FRAMES = 4
+    private const val ORDINARY_LINES_PER_SECOND = 250
     private val logger = KotlinLogging.logger("cicadaarch")
+    private val budget = LineBudget(ORDINARY_LINES_PER_SECOND)
 
     /** Logs [event] for a closer look, off unless the level is lowered. */
     fun debug(event: String, fields: LogFields.() -> Unit = {}) {
@@ -15,6 +19,9 @@
 
     /** Logs [event] with the [fields] as ordinary information. */
     fun info(event: String, fields: LogFields.() -> Unit = {}) {
+        if (!budget.allows()) return
+        val leftOut = budget.takeLeftOut()
+        if (leftOut > 0) logger.warn { line("lines-left-out") { "count" to leftOut } }
         logger.info { line(event, fields) }
     }
 
@@ -36,6 +43,4 @@
 
     private fun line(event: String, fields: LogFields.() -> Unit): String =
         LogFields().apply { "event" to event }.apply(fields).toString()
-
-    private const val STACK_FRAMES = 4
 }
