Log what decides an attempt, trace a request over all logs, start one thread at a time

Cause: the log did not tell why a target was chosen or passed over, and a request's lines had to be searched on every machine. Besides, the virtual machine ended with code 134 in about one of 120 to 700 starts: SIGILL in libc's read, while the main thread and the event loop both load classes. Ruled out for the exit: the bounded log's thread (seen without it, too); memory. Change: lines attempt-sent (believed load, slots, prompt, cache source, time left) and target-avoided; cicadactl trace; the main thread waits while the event loop starts the followers, and the settings are watched only after that. The fingerprint of requests, which nothing used, is gone.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import org.cicadaarch.dispatch.target.TargetEntry
+import org.cicadaarch.model.TargetId
 
 /**
  * What the dispatch wants done.
@@ -9,19 +10,23 @@
 sealed class DispatchEffect {
     /**
      * Send the request to [target], which may work on it for [timeLeft] and may copy what [cacheSource] keeps of its
-     * prompt.
+     * prompt. [believedLoad] is the load by which the target was chosen.
      */
     data class Send(
         val id: ExchangeId,
         val attempt: Int,
         val target: TargetEntry,
         val timeLeft: Duration,
+        val believedLoad: Double,
         val cacheSource: TargetEntry? = null,
     ) : DispatchEffect()
 
     /** Break off the attempt on its target. */
     data class Cancel(val id: ExchangeId, val attempt: Int) : DispatchEffect()
 
+    /** Tell operators that [target] is passed over for [time] after [failures] in a row. */
+    data class TargetAvoided(val target: TargetId, val time: Duration, val failures: Int) : DispatchEffect()
+
     /** Give the caller the whole answer of the last attempt. */
     data class Deliver(val id: ExchangeId) : DispatchEffect()
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchRequest.kt
@@ -7,8 +7,7 @@
 /**
  * A request to be sent to a target of [service] as [route] allows, within [timeAllowed] of its arrival.
  *
- * [priority] is 0 for the most urgent. [promptKey] names the part of the prompt that other requests share, if any;
- * [fingerprint] is equal for requests with the same path, account and body.
+ * [priority] is 0 for the most urgent. [promptKey] names the part of the prompt that other requests share, if any.
  */
 data class DispatchRequest(
     val id: ExchangeId,
@@ -17,5 +16,4 @@
     val priority: Int,
     val timeAllowed: Duration,
     val promptKey: String?,
-    val fingerprint: Long,
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -183,6 +183,7 @@
             attempt = attempt,
             target = target.entry,
             timeLeft = open.endsAt - now,
+            believedLoad = target.load(now),
             cacheSource = open.request.promptKey?.let { cacheSource(open.request.service, it, id) },
         )
     }
@@ -236,7 +237,11 @@
 
     private fun updateTarget(id: TargetId, change: (TargetState) -> TargetState) {
         val target = state.targets[id] ?: return
-        state = state.copy(targets = state.targets.put(id, change(target)))
+        val changed = change(target)
+        state = state.copy(targets = state.targets.put(id, changed))
+        if (changed.failures > target.failures && changed.avoidedUntil != null) {
+            effects += DispatchEffect.TargetAvoided(id, changed.avoidedUntil - now, changed.failures)
+        }
     }
 
     private fun put(open: OpenRequest) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -79,18 +79,18 @@
         readiness.start()
         peers.listen()
         callers.start()
-        eventLoop.execute {
-            connections.start()
-            configuration.start()
-            targets.start()
-            peers.start()
-        }
         LogEvents.info("router-started") {
             "router" to settings.name
             "callers" to settings.callerAddress
             "readiness" to settings.readinessAddress
             "zone" to settings.dispatch.zone
         }
+        eventLoop.submit {
+            connections.start()
+            configuration.start()
+            targets.start()
+            peers.start()
+        }.sync()
     }
 
     /** Keeps the bounds of [dispatch] from now on; addresses and the store stay those of the start. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
@@ -49,6 +49,7 @@
         dropAnswer()
         val next = Attempt(effect)
         attempt = next
+        context.attemptSent(effect)
         context.connections.acquire(
             key = TargetKey.of(effect.target),
             mustBeSure = context.dispatched.route.repetition == Repetition.AT_MOST_ONCE,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -1,6 +1,8 @@
 package org.cicadaarch.forwarding.exchange
 
+import java.util.Locale
 import org.cicadaarch.dispatch.request.AttemptResult
+import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
 import org.cicadaarch.dispatch.request.DispatchRequest
 import org.cicadaarch.dispatch.routing.ClientAccount
@@ -39,10 +41,24 @@
         metrics.took(dispatched.route, RequestPhase.FIRST_PART, EventLoopClock.now() - begunAt)
     }
 
+    /** An attempt is sent; what decided its target is logged. */
+    fun attemptSent(send: DispatchEffect.Send) {
+        attempts = send.attempt
+        lastTarget = send.target.id
+        LogEvents.info("attempt-sent") {
+            "request" to requestId
+            "attempt" to send.attempt
+            "target" to send.target.id
+            "load" to "%.1f".format(Locale.ROOT, send.believedLoad)
+            "slots" to send.target.slots
+            "prompt" to dispatched.promptKey
+            "cacheSource" to send.cacheSource?.id
+            "millisLeft" to send.timeLeft.inWholeMilliseconds
+        }
+    }
+
     /** An attempt ended with [result]; failures are logged. */
     fun attemptEnded(number: Int, target: TargetId, result: AttemptResult) {
-        attempts = number
-        lastTarget = target
         metrics.attemptEnded(dispatched.service, result)
         if (result is AttemptResult.Answered) return
         LogEvents.info("attempt-failed") {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
@@ -98,7 +98,7 @@
 
             is Authorization.Granted -> authorization.account
         }
-        val dispatched = dispatched(exchange, route, account, metadata, requestId)
+        val dispatched = dispatched(route, account, metadata, requestId)
         exchange.context = ExchangeContext(
             dispatched = dispatched,
             requestId = requestId,
@@ -117,7 +117,6 @@
     }
 
     private fun dispatched(
-        exchange: Exchange,
         route: Route,
         account: ClientAccount?,
         metadata: RequestMetadata,
@@ -133,16 +132,9 @@
             priority = account?.priority ?: route.priority,
             timeAllowed = minOf(metadata.deadline ?: route.timeout, route.timeout),
             promptKey = if (route.followsPrompt) shared?.id else null,
-            fingerprint = fingerprint(exchange, account),
         )
     }
 
-    private fun fingerprint(exchange: Exchange, account: ClientAccount?): Long {
-        val body = exchange.request.body
-        return HASH.hashChars("${exchange.request.uri} ${account?.id}") xor
-            HASH.hashBytes(body.array(), body.arrayOffset() + body.readerIndex(), body.readableBytes())
-    }
-
     private fun routeOf(routes: RoutingTable, exchange: Exchange): Route? {
         val host = exchange.request.headers[HttpHeaderNames.HOST].substringBefore(':').lowercase()
         return routes.route(host, exchange.request.uri.substringBefore('?'))
@@ -185,8 +177,17 @@
     private fun carryOut(effect: DispatchEffect) {
         when (effect) {
             is DispatchEffect.Send -> open[effect.id]?.send(effect)
+
             is DispatchEffect.Cancel -> open[effect.id]?.cancel(effect.attempt)
+
+            is DispatchEffect.TargetAvoided -> LogEvents.info("target-avoided") {
+                "target" to effect.target
+                "millis" to effect.time.inWholeMilliseconds
+                "failures" to effect.failures
+            }
+
             is DispatchEffect.Deliver -> open[effect.id]?.deliver()
+
             is DispatchEffect.Fail -> open[effect.id]?.fail(effect.failure)
         }
     }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/CommandLine.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/CommandLine.kt
@@ -13,6 +13,7 @@
 import org.cicadaarch.control.command.PresetCommand
 import org.cicadaarch.control.command.ShowCommand
 import org.cicadaarch.control.command.StatusCommand
+import org.cicadaarch.control.command.TraceCommand
 import org.cicadaarch.control.command.ValidateCommand
 
 /**
@@ -38,6 +39,7 @@
             ExplainCommand(environment),
             DrainCommand(environment),
             HashCredentialCommand(environment, readLine),
+            TraceCommand(environment),
         )
         val parser = ArgParser("cicadactl")
         parser.subcommands(*commands.toTypedArray())
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
@@ -55,6 +55,19 @@
         assertTrue("leaving: true -> (absent)" in run(ExitCode.DONE, "drain", "--target", "hire-engine-2", "--cancel"))
     }
 
+    @Test
+    fun `Given logs of two routers, when a request is traced, then its lines come in order of time`() {
+        val first = file("a.log", "time=2 event=attempt-sent request=r1\ntime=1 event=attempt-sent request=r12\n")
+        val second = file("b.log", "time=1 event=request-refused request=r1\ntime=3 event=x other=request=r1\n")
+        val lines = run(ExitCode.DONE, "trace", "r1", first, second).trim().lines()
+        assertEquals(
+            listOf("time=1 event=request-refused request=r1", "time=2 event=attempt-sent request=r1"),
+            lines.take(2),
+        )
+        run(ExitCode.FAILED, "trace", "r9", first)
+        run(ExitCode.USAGE, "trace", "r1", "missing.log")
+    }
+
     @Test
     fun `Given two operators with one base, when both apply, then the second is told and neither edit is lost`() {
         run(ExitCode.DONE, "apply", EXAMPLE)
