--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/routing/Route.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/routing/Route.kt
@@ -26,6 +26,10 @@
 ) {
     private val totalWeight = destinations.sumOf { it.weight }
 
+    init {
+        require(totalWeight > 0) { "route $name goes nowhere" }
+    }
+
     /** The service for a request with [hash], in proportion to the weights. */
     fun serviceFor(hash: Long): ServiceName {
         var rest = Math.floorMod(hash, totalWeight)
