--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -156,8 +156,8 @@
     private companion object {
         const val METRICS_PATH = "/metrics"
 
-        /** A target whose entry lapsed with the store's outage is back within two seconds if it lives. */
-        val TARGET_SETTLE_TIME = 2200.milliseconds
+        /** Lapsed entries come back within about two seconds; a target must not be used for two after it left. */
+        val TARGET_SETTLE_TIME = 1800.milliseconds
 
         /** The balancer asks every second and believes two misses. */
         val BALANCER_NOTICE = 2500.milliseconds
