Treat a short failure of the store as no outage when a target is removed

Cause: a target's entry that was removed while a wait was cut, or while the store dropped its history, was kept for the settle time after the next answer, counted from that answer: up to a second more than the settle time after the removal, beyond the drain bound. Values lapse only in an outage of some length; a cut wait is none. Change: missing values are kept only after failures for half a heartbeat interval or after silence; the first wait after failures is 0.2 s, so that the store's return is noticed when it happens. Settle time and heartbeat come from the settings instead of constants (drain bound less 0.2 s, 2.2 s at most). Tests: four in FollowReducerTest; two fail with a shortest outage of zero, which is the former behaviour.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -17,9 +17,14 @@
  * Keeps a copy of all values below [prefix] up to date: reads them once, then waits for changes.
  *
  * An outage of the store removes no value. A value that vanished during an outage is kept until [settleTime] after the
- * store's return, since its owner may be about to write it again.
+ * store's return, since its owner may be about to write it again. Failures for less than [shortestOutage] are no outage:
+ * no value lapses in so short a time, so what vanished was removed.
  */
-class FollowReducer(private val prefix: String, private val settleTime: Duration) {
+class FollowReducer(
+    private val prefix: String,
+    private val settleTime: Duration,
+    private val shortestOutage: Duration,
+) {
     /** The state and the effects after [event] at [now]. */
     fun reduce(state: FollowState, event: FollowEvent, now: Timestamp): Step<FollowState, FollowEffect> = when (event) {
         FollowEvent.Started -> read(state)
@@ -61,7 +66,7 @@
 
             result is StoreResult.Refused -> failed(state, result.reason, now)
 
-            result is StoreResult.Unanswered -> failed(state, result.reason, now)
+            result is StoreResult.Unanswered -> failed(state, result.reason, now, result.isSilence)
 
             else -> failed(state, "unexpected answer $result", now)
         }
@@ -75,15 +80,27 @@
         return Step(next, if (values == state.values) emptyList() else listOf(FollowEffect.Changed(values)))
     }
 
-    private fun regained(state: FollowState, now: Timestamp): Step<FollowState, FollowEffect> = when (state.failures) {
-        0 -> Step(state)
-        else -> Step(state.copy(failures = 0, regainedAt = now), listOf(FollowEffect.StoreRegained))
+    private fun regained(state: FollowState, now: Timestamp): Step<FollowState, FollowEffect> {
+        val since = state.failingSince ?: return Step(state)
+        val regainedAt = if (now - since >= shortestOutage) now else state.regainedAt
+        val next = state.copy(failures = 0, failingSince = null, regainedAt = regainedAt)
+        return Step(next, listOf(FollowEffect.StoreRegained))
     }
 
-    private fun failed(state: FollowState, reason: String, now: Timestamp): Step<FollowState, FollowEffect> {
+    private fun failed(
+        state: FollowState,
+        reason: String,
+        now: Timestamp,
+        isSilence: Boolean = false,
+    ): Step<FollowState, FollowEffect> {
         val pause = (FIRST_PAUSE * (1 shl state.failures.coerceAtMost(MOST_DOUBLINGS))).coerceAtMost(LONGEST_PAUSE)
         val isReading = state.phase !is Phase.Watching
-        val next = state.copy(phase = Phase.Pausing(now + pause, isReading), failures = state.failures + 1)
+        val since = state.failingSince ?: if (isSilence) now - shortestOutage else now
+        val next = state.copy(
+            phase = Phase.Pausing(now + pause, isReading),
+            failures = state.failures + 1,
+            failingSince = since,
+        )
         return Step(next, if (state.failures == 0) listOf(FollowEffect.StoreLost(reason)) else emptyList())
     }
 
@@ -135,8 +152,11 @@
         return Step(next, if (values == state.values) emptyList() else listOf(FollowEffect.Changed(values)))
     }
 
-    private fun watch(state: FollowState): Step<FollowState, FollowEffect> =
-        call(state, Phase.Watching, StoreCommand.AwaitChange(prefix, state.revision, WATCH_TIME))
+    /** After a failure the wait is short, as its end shows that the store is back. */
+    private fun watch(state: FollowState): Step<FollowState, FollowEffect> {
+        val time = if (state.failures == 0) WATCH_TIME else PROBE_TIME
+        return call(state, Phase.Watching, StoreCommand.AwaitChange(prefix, state.revision, time))
+    }
 
     private fun pageFrom(key: String) = StoreCommand.ReadPrefix(prefix = prefix, from = key, limit = PAGE_SIZE)
 
@@ -157,6 +177,7 @@
         val LONGEST_PAUSE = 800.milliseconds
         const val MOST_DOUBLINGS = 3
         val WATCH_TIME = 10.seconds
+        val PROBE_TIME = 200.milliseconds
         const val PAGE_SIZE = 500
 
         /** The least text that makes a key the next one after another. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
@@ -8,7 +8,7 @@
  * The known [values] below a prefix and what comes next.
  *
  * [missing] are keys that vanished around an outage of the store, with the moment at which they are taken as gone.
- * [failures] counts the calls that failed since the last good one.
+ * [failures] counts the calls that failed since the last good one, the first of them at [failingSince].
  */
 data class FollowState(
     val phase: Phase = Phase.Idle,
@@ -17,6 +17,7 @@
     val missing: PersistentMap<String, Timestamp> = persistentMapOf(),
     val revision: Long = 0,
     val failures: Int = 0,
+    val failingSince: Timestamp? = null,
     val regainedAt: Timestamp? = null,
 ) {
     /** What the follower waits for. */
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
@@ -12,7 +12,7 @@
 import org.cicadaarch.model.store.StoredValue
 
 class FollowReducerTest {
-    private val reducer = FollowReducer(prefix = "targets/", settleTime = 2.seconds)
+    private val reducer = FollowReducer(prefix = "targets/", settleTime = 2.seconds, shortestOutage = 600.milliseconds)
     private var state = FollowState()
     private var now = Timestamp(0)
     private var effects = emptyList<FollowEffect>()
@@ -68,6 +68,49 @@
         assertEquals(setOf("targets/b", "targets/c"), state.values.keys)
     }
 
+    @Test
+    fun `Given a wait that was cut, when a value was deleted meanwhile, then it is gone at the next answer`() {
+        follow("a", "b")
+        answer(StoreResult.Unanswered("connection closed"))
+        now += 100.milliseconds
+        submit(FollowEvent.Tick)
+        answer(deleted("targets/a", revision = 9))
+        assertEquals(setOf("targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given a wait that was cut, when the history is lost too, then what a full read lacks is gone`() {
+        follow("a", "b")
+        answer(StoreResult.Unanswered("connection closed"))
+        now += 100.milliseconds
+        submit(FollowEvent.Tick)
+        answer(StoreResult.HistoryLost)
+        answer(StoreResult.Values(listOf(value("targets/b", 2)), revision = 12))
+        assertEquals(setOf("targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given a call without an answer in time, when the next one is answered, then missing values are kept`() {
+        follow("a", "b")
+        answer(StoreResult.Unanswered("no answer in time", isSilence = true))
+        now += 100.milliseconds
+        submit(FollowEvent.Tick)
+        answer(deleted("targets/a", revision = 9))
+        assertEquals(setOf("targets/a", "targets/b"), state.values.keys)
+    }
+
+    @Test
+    fun `Given an outage, when the first wait after it is sent, then it ends soon, to tell when the store is back`() {
+        follow("a")
+        assertEquals(LONG_WAIT, assertIs<StoreCommand.AwaitChange>(lastCall().command).timeout)
+        answer(StoreResult.Refused("busy"))
+        now += 1.seconds
+        submit(FollowEvent.Tick)
+        assertTrue(assertIs<StoreCommand.AwaitChange>(lastCall().command).timeout <= 200.milliseconds)
+        answer(StoreResult.Values(emptyList(), revision = 8))
+        assertEquals(LONG_WAIT, assertIs<StoreCommand.AwaitChange>(lastCall().command).timeout)
+    }
+
     @Test
     fun `Given a value missing after an outage, when it comes back, then it stays`() {
         follow("a", "b")
@@ -144,4 +187,8 @@
         values = listOf(StoredValue(key = key, value = null, createRevision = 0, revision = revision)),
         revision = revision,
     )
+
+    private companion object {
+        val LONG_WAIT = 10.seconds
+    }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -53,13 +53,15 @@
     private val configuration = FollowRunner(
         prefix = fleetFormat.configurationPrefix,
         settleTime = Duration.ZERO,
+        shortestOutage = Duration.ZERO,
         store = store,
         eventLoop = eventLoop,
         onChange = reader::configurationChanged,
     )
     private val targets = FollowRunner(
         prefix = fleetFormat.targetPrefix,
-        settleTime = TARGET_SETTLE_TIME,
+        settleTime = minOf(LONGEST_TARGET_RETURN, settings.drainTimeout - DRAIN_MARGIN),
+        shortestOutage = settings.targetHeartbeat / 2,
         store = store,
         eventLoop = eventLoop,
         onChange = reader::targetsChanged,
@@ -156,8 +158,11 @@
     private companion object {
         const val METRICS_PATH = "/metrics"
 
-        /** Lapsed entries come back within about two seconds; a target must not be used for two after it left. */
-        val TARGET_SETTLE_TIME = 1800.milliseconds
+        /** Entries that lapsed during an outage come back within about two seconds. */
+        val LONGEST_TARGET_RETURN = 2200.milliseconds
+
+        /** Time for the last request to a target that left to arrive there. */
+        val DRAIN_MARGIN = 200.milliseconds
 
         /** The balancer asks every second and believes two misses. */
         val BALANCER_NOTICE = 2500.milliseconds
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
@@ -7,7 +7,8 @@
 /**
  * The settings of a router that forwards by routes. [readinessPath] answers 200 at [readinessAddress] while new
  * connections are wanted. Other routers reach this one at [peerAddress]; [seedPeers] are some of them, which may be
- * gone. A stopping router is killed [gracePeriod] after it was told.
+ * gone. A stopping router is killed [gracePeriod] after it was told. A target writes its entry every [targetHeartbeat] and
+ * may be used for [drainTimeout] after it left.
  */
 data class ForwardingSettings(
     val name: String,
@@ -17,5 +18,7 @@
     val peerAddress: RouterAddress,
     val seedPeers: List<RouterAddress>,
     val gracePeriod: Duration,
+    val targetHeartbeat: Duration,
+    val drainTimeout: Duration,
     val dispatch: DispatchSettings,
 )
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
@@ -18,11 +18,12 @@
 internal class FollowRunner(
     private val prefix: String,
     settleTime: Duration,
+    shortestOutage: Duration,
     private val store: Store,
     private val eventLoop: EventLoop,
     private val onChange: (Map<String, String>) -> Unit,
 ) {
-    private val reducer = FollowReducer(prefix, settleTime)
+    private val reducer = FollowReducer(prefix, settleTime, shortestOutage)
 
     /** What is known of the prefix. */
     var state = FollowState()
--- a/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreResult.kt
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreResult.kt
@@ -27,6 +27,6 @@
     /** The command did not reach the store or was refused by it: a write had no effect. */
     data class Refused(val reason: String) : StoreResult()
 
-    /** No answer came: a write may have taken effect. */
-    data class Unanswered(val reason: String) : StoreResult()
+    /** No answer came: a write may have taken effect. [isSilence] when nothing was heard until the time was over. */
+    data class Unanswered(val reason: String, val isSilence: Boolean = false) : StoreResult()
 }
