Hold requests of a router's first half second until it knows configuration and targets

Cause: a router that had just started refused all requests until its configuration came, 0.15 to 0.35 s; callers have one retry, so many were lost although an engine could have served them a moment later. Change: within 0.5 s of the start (a setting) up to 512 requests are held while no configuration or target is known; then they are served, their time shortened by the wait, or refused as not run. A caller that leaves meanwhile is forgotten. Ruled out: listening later, since a refused connection costs callers the same retry.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -17,8 +17,8 @@
  * Keeps a copy of all values below [prefix] up to date: reads them once, then waits for changes.
  *
  * An outage of the store removes no value. A value that vanished during an outage is kept until [settleTime] after the
- * store's return, since its owner may be about to write it again. Failures for less than [shortestOutage] are no outage:
- * no value lapses in so short a time, so what vanished was removed.
+ * store's return, since its owner may be about to write it again. Failures for less than [shortestOutage] are no
+ * outage: no value lapses in so short a time, so what vanished was removed.
  */
 class FollowReducer(
     private val prefix: String,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -80,6 +80,7 @@
         registerGauges()
         readiness.start()
         peers.listen()
+        exchanges.holdEarly(settings.startHold)
         callers.start()
         LogEvents.info("router-started") {
             "router" to settings.name
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
@@ -1,14 +1,16 @@
 package org.cicadaarch.forwarding
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.model.RouterAddress
 
 /**
  * The settings of a router that forwards by routes. [readinessPath] answers 200 at [readinessAddress] while new
  * connections are wanted. Other routers reach this one at [peerAddress]; [seedPeers] are some of them, which may be
- * gone. A stopping router is killed [gracePeriod] after it was told. A target writes its entry every [targetHeartbeat] and
- * may be used for [drainTimeout] after it left.
+ * gone. A stopping router is killed [gracePeriod] after it was told. A target writes its entry every [targetHeartbeat]
+ * and may be used for [drainTimeout] after it left. Requests that come before the first configuration are held until
+ * [startHold] after the start.
  */
 data class ForwardingSettings(
     val name: String,
@@ -21,4 +23,5 @@
     val targetHeartbeat: Duration,
     val drainTimeout: Duration,
     val dispatch: DispatchSettings,
+    val startHold: Duration = 500.milliseconds,
 )
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/caller/CallerHandler.kt
@@ -83,7 +83,7 @@
         waiting.clear()
         incoming?.body?.release()
         incoming = null
-        exchange?.callerLeft()
+        exchange?.let { listener.exchanges.callerLeft(it) }
         exchange = null
         listener.closed(this)
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchange.kt
@@ -41,6 +41,9 @@
     private var lastEventId: String? = null
     private var isDelivering = false
 
+    /** When the request had been read. */
+    val arrivedAt: Timestamp = EventLoopClock.now()
+
     /** What was found out about the request; set before the exchange is opened at the dispatch. */
     lateinit var context: ExchangeContext
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/Exchanges.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import net.openhft.hashing.LongHashFunction
@@ -48,6 +49,9 @@
     private var nextId = 0L
     private var timer: ScheduledFuture<*>? = null
     private var timerAt: Timestamp? = null
+    private val held = LinkedHashSet<Exchange>()
+    private var holdsUntil: Timestamp? = null
+    private var areTargetsKnown = false
 
     /** What the dispatch knows. */
     var state = DispatchState()
@@ -63,9 +67,16 @@
     /** Requests that have not ended. */
     val size: Int get() = open.size
 
+    /** Holds requests for [time] from now on while no configuration or no target is known, instead of refusing them. */
+    fun holdEarly(time: Duration) {
+        holdsUntil = EventLoopClock.now() + time
+        eventLoop.schedule(::releaseHeld, time.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
     /** Puts [next] in force for requests that come from now on. */
     fun install(next: RoutingTable) {
         table = next
+        if (areTargetsKnown) releaseHeld()
     }
 
     /** Keeps the bounds of [settings] from now on. */
@@ -77,13 +88,33 @@
     fun targetsChanged(entries: List<TargetEntry>) {
         connections.retain(entries.mapTo(HashSet()) { TargetKey.of(it) })
         submit(DispatchEvent.TargetsChanged(entries))
+        areTargetsKnown = true
+        if (table != null) releaseHeld()
     }
 
     /** Refuses [exchange] as this router is about to end. */
     fun refuseStopped(exchange: Exchange) = refuse(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping")
 
-    /** Begins to serve [exchange], or refuses it. */
+    /** Begins to serve [exchange], holds it for a moment, or refuses it. */
     fun open(exchange: Exchange) {
+        val isHolding = holdsUntil?.let { EventLoopClock.now() < it } ?: false
+        val isInformed = table != null && areTargetsKnown
+        if (isHolding && !isInformed && held.size < MOST_HELD) held += exchange else begin(exchange)
+    }
+
+    /** The caller of [exchange] closed its connection. */
+    fun callerLeft(exchange: Exchange) {
+        if (held.remove(exchange)) exchange.request.body.release() else exchange.callerLeft()
+    }
+
+    private fun releaseHeld() {
+        holdsUntil = null
+        val released = held.toList()
+        held.clear()
+        released.forEach { begin(it) }
+    }
+
+    private fun begin(exchange: Exchange) {
         val routes = table ?: return refuse(exchange, HttpResponseStatus.SERVICE_UNAVAILABLE, "no-configuration")
         val metadata = format.readRequest(exchange.request.headers)
         val requestId = metadata.requestId
@@ -98,7 +129,8 @@
 
             is Authorization.Granted -> authorization.account
         }
-        val dispatched = dispatched(route, account, metadata, requestId)
+        val waited = EventLoopClock.now() - exchange.arrivedAt
+        val dispatched = dispatched(route, account, metadata, requestId, waited)
         exchange.context = ExchangeContext(
             dispatched = dispatched,
             requestId = requestId,
@@ -121,6 +153,7 @@
         account: ClientAccount?,
         metadata: RequestMetadata,
         requestId: String,
+        waited: Duration,
     ): DispatchRequest {
         nextId += 1
         val hash = HASH.hashChars(requestId)
@@ -130,7 +163,7 @@
             route = route,
             service = route.serviceFor(hash ushr 1),
             priority = account?.priority ?: route.priority,
-            timeAllowed = minOf(metadata.deadline ?: route.timeout, route.timeout),
+            timeAllowed = minOf(metadata.deadline ?: route.timeout, route.timeout) - waited,
             promptKey = if (route.followsPrompt) shared?.id else null,
         )
     }
@@ -210,6 +243,9 @@
     private companion object {
         val HASH: LongHashFunction = LongHashFunction.xx3()
         val RETRY_AFTER = 250.milliseconds
+
+        /** Requests that are held at a time; further ones are refused, as memory is bounded. */
+        const val MOST_HELD = 512
         val LIMITS_WITHOUT_CONFIGURATION = CallerLimits(
             headerBytes = 16 * 1024,
             bodyBytes = 4 * 1024 * 1024,
