Let eight routers watch the store for all, and tell the others what they lack

Change: routers rank each other by one hash; the first eight that are usable watch. Any other keeps two questions open, each to one watching router after the other for a second, and is told only what was written and removed since its revision; large answers are compressed. A router that is silent or not served is passed over and the next in rank watches; at most 24 ever call the store. With eight routers or fewer all watch, as before. Mended on the way: a wait that ended with changes older than what another router had told went back to them; a value kept for the settle time was told without its end, and never removed by the router that was told. Ruled out: leases for the role of watching (calls, and no gain: two watching routers too many do no harm); whole values to each asker (40 KB to 79 routers at each change of a target, on links of 7 Mbit/s).

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowEvent.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowEvent.kt
@@ -12,8 +12,14 @@
     /** The store answered the command with number [call]. */
     data class Answered(val call: Long, val result: StoreResult) : FollowEvent()
 
-    /** Another router has all [values] below the prefix as of the store's [revision]. */
-    data class Relayed(val values: Map<String, String>, val revision: Long) : FollowEvent()
+    /** Another router told its [changes]. */
+    data class Relayed(val changes: KnownChanges) : FollowEvent()
+
+    /** Other routers follow the store for this one, which makes no calls from now on. */
+    data object Delegated : FollowEvent()
+
+    /** This router follows the store itself again. */
+    data object Resumed : FollowEvent()
 
     /** Time has passed. */
     data object Tick : FollowEvent()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -29,7 +29,9 @@
     fun reduce(state: FollowState, event: FollowEvent, now: Timestamp): Step<FollowState, FollowEffect> = when (event) {
         FollowEvent.Started -> read(state)
         is FollowEvent.Answered -> if (event.call == state.call) answered(state, event.result, now) else Step(state)
-        is FollowEvent.Relayed -> relayed(state, event)
+        is FollowEvent.Relayed -> relayed(state, event.changes, now)
+        FollowEvent.Delegated -> delegated(state)
+        FollowEvent.Resumed -> resumed(state)
         FollowEvent.Tick -> tick(state, now)
     }
 
@@ -72,11 +74,32 @@
         }
     }
 
+    /** A late answer to a call before is ignored, as the calls are numbered. */
+    private fun delegated(state: FollowState): Step<FollowState, FollowEffect> = Step(
+        state.copy(phase = Phase.Delegated, call = state.call + 1, failures = 0, failingSince = null),
+    )
+
+    private fun resumed(state: FollowState): Step<FollowState, FollowEffect> = when {
+        state.phase !is Phase.Delegated -> Step(state)
+        state.revision == 0L -> read(state)
+        else -> watch(state)
+    }
+
     /** The other router was told by the store, so what it lacks is gone. A call that is under way goes on. */
-    private fun relayed(state: FollowState, event: FollowEvent.Relayed): Step<FollowState, FollowEffect> {
-        if (event.revision <= state.revision) return Step(state)
-        val values = event.values.toPersistentMap()
-        val next = state.copy(values = values, missing = persistentMapOf(), revision = event.revision)
+    private fun relayed(state: FollowState, changes: KnownChanges, now: Timestamp): Step<FollowState, FollowEffect> {
+        val since = changes.since
+        if (changes.revision <= state.revision || (since != null && since > state.revision)) return Step(state)
+        val settling = changes.settling.filterKeys { it in state.values }
+        val kept = if (since == null) state.values.filterKeys { it in settling } else state.values - changes.removed
+        val values = (kept + changes.values).toPersistentMap()
+        val log = if (since == null) {
+            ChangeLog.startingWith(changes.values.keys, changes.revision)
+        } else {
+            val written = changes.values.keys.fold(state.log) { log, key -> log.written(key, changes.revision) }
+            changes.removed.fold(written) { log, key -> log.removed(key, changes.revision) }
+        }
+        val missing = settling.mapValues { (_, left) -> now + left }.toPersistentMap()
+        val next = state.copy(values = values, missing = missing, revision = changes.revision, log = log)
         return Step(next, if (values == state.values) emptyList() else listOf(FollowEffect.Changed(values)))
     }
 
@@ -120,7 +143,8 @@
             return call(state, Phase.Reading(read, revision), pageFrom(last + AFTER_KEY))
         }
         if (revision < state.revision) return watch(state)
-        return replaced(state, read, now).then { watch(it.copy(revision = revision)) }
+        val log = ChangeLog.startingWith(read.keys, revision)
+        return replaced(state, read, now).then { watch(it.copy(revision = revision, log = log)) }
     }
 
     private fun changed(
@@ -129,12 +153,15 @@
         now: Timestamp,
     ): Step<FollowState, FollowEffect> {
         val values = (state.values - state.missing.keys).toMutableMap()
-        result.values.sortedBy { it.revision }.forEach { item: StoredValue ->
+        var log = state.log
+        val changes = result.values.filter { it.revision > state.revision }.sortedBy { it.revision }
+        changes.forEach { item: StoredValue ->
             val value = item.value
             if (value == null) values.remove(item.key) else values[item.key] = value
+            log = if (value == null) log.removed(item.key, item.revision) else log.written(item.key, item.revision)
         }
-        val next = state.copy(revision = maxOf(state.revision, result.revision))
-        val step = if (result.values.isEmpty()) Step(next) else replaced(next, values, now)
+        val next = state.copy(revision = maxOf(state.revision, result.revision), log = log)
+        val step = if (changes.isEmpty()) Step(next) else replaced(next, values, now)
         return step.then { watch(it) }
     }
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
@@ -19,12 +19,33 @@
     val failures: Int = 0,
     val failingSince: Timestamp? = null,
     val regainedAt: Timestamp? = null,
+    val log: ChangeLog = ChangeLog(),
 ) {
+    /** Whether the store answers this router, which follows it itself. */
+    val isServed: Boolean get() = revision > 0 && failures == 0 && phase !is Phase.Delegated
+
+    /** What a router at [since] lacks, or null when it lacks nothing. */
+    fun changesAfter(since: Long, now: Timestamp): KnownChanges? {
+        if (revision <= since) return null
+        val isComplete = since >= log.completeSince && since > 0
+        val present = values - missing.keys
+        return KnownChanges(
+            since = since.takeIf { isComplete },
+            revision = revision,
+            values = if (isComplete) present.filterKeys { it in log.writtenAfter(since) } else present,
+            removed = if (isComplete) log.removedAfter(since) - missing.keys else emptySet(),
+            settling = missing.mapValues { (_, goneAt) -> goneAt - now },
+        )
+    }
+
     /** What the follower waits for. */
     sealed class Phase {
         /** Nothing yet. */
         data object Idle : Phase()
 
+        /** What other routers tell. */
+        data object Delegated : Phase()
+
         /** A page of a full read; [read] holds the pages before, the first of which was read at [revision]. */
         data class Reading(val read: Map<String, String>, val revision: Long?) : Phase()
 
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
@@ -144,7 +144,7 @@
     fun `Given a router that the store refuses, when another one has newer values, then they replace its own`() {
         follow("a", "b")
         answer(StoreResult.Refused("busy"))
-        submit(FollowEvent.Relayed(mapOf("targets/b" to "new"), revision = 12))
+        submit(FollowEvent.Relayed(all(mapOf("targets/b" to "new"), revision = 12)))
         assertEquals(mapOf("targets/b" to "new"), state.values.toMap())
         now += 1.seconds
         submit(FollowEvent.Tick)
@@ -154,10 +154,18 @@
     @Test
     fun `Given values, when another router relays older ones, then they are ignored`() {
         follow("a")
-        submit(FollowEvent.Relayed(emptyMap(), revision = 8))
+        submit(FollowEvent.Relayed(all(emptyMap(), revision = 8)))
         assertEquals(setOf("targets/a"), state.values.keys)
     }
 
+    private fun all(values: Map<String, String>, revision: Long) = KnownChanges(
+        since = null,
+        revision = revision,
+        values = values,
+        removed = emptySet(),
+        settling = emptyMap(),
+    )
+
     private fun follow(vararg names: String) {
         submit(FollowEvent.Started)
         answer(StoreResult.Values(names.mapIndexed { index, name -> value("targets/$name", index + 1L) }, revision = 8))
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -41,13 +41,15 @@
     private val metrics = ForwardingMetrics()
     private val exchanges = Exchanges(eventLoop, settings.dispatch, connections, headerFormat, metrics)
     private val callers = CallerListener(settings.callerAddress, eventLoops, exchanges)
-    private val readiness = HttpEndpoint(settings.readinessAddress, eventLoops) { uri ->
-        when {
-            uri == METRICS_PATH -> HttpReply(HttpResponseStatus.OK, metrics.text())
-            uri != settings.readinessPath -> HttpReply(HttpResponseStatus.NOT_FOUND)
-            exchanges.table != null && !stopping.get() -> HttpReply(HttpResponseStatus.OK)
-            else -> HttpReply(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        }
+    private val readiness = HttpEndpoint(settings.readinessAddress, eventLoops) { uri, respond ->
+        respond(
+            when {
+                uri == METRICS_PATH -> HttpReply(HttpResponseStatus.OK, metrics.text())
+                uri != settings.readinessPath -> HttpReply(HttpResponseStatus.NOT_FOUND)
+                exchanges.table != null && !stopping.get() -> HttpReply(HttpResponseStatus.OK)
+                else -> HttpReply(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            },
+        )
     }
     private val reader = FleetReader(fleetFormat, exchanges::install, exchanges::targetsChanged)
     private val configuration = FollowRunner(
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FollowRunner.kt
@@ -8,6 +8,7 @@
 import org.cicadaarch.dispatch.follow.FollowEvent
 import org.cicadaarch.dispatch.follow.FollowReducer
 import org.cicadaarch.dispatch.follow.FollowState
+import org.cicadaarch.dispatch.follow.KnownChanges
 import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.store.Store
@@ -30,26 +31,38 @@
         private set
     private var timer: ScheduledFuture<*>? = null
 
+    /** Told after each change of the revision. */
+    var onRevision: () -> Unit = {}
+
     /** Starts to follow. */
     fun start() = submit(FollowEvent.Started)
 
     /** Takes over what another router knows, if that is newer. */
-    fun relay(values: Map<String, String>, revision: Long) {
-        if (revision > state.revision) {
+    fun relay(changes: KnownChanges) {
+        if (changes.revision > state.revision) {
             LogEvents.info("values-relayed") {
                 "prefix" to prefix
-                "revision" to revision
+                "revision" to changes.revision
                 "before" to state.revision
+                "since" to changes.since
             }
         }
-        submit(FollowEvent.Relayed(values, revision))
+        submit(FollowEvent.Relayed(changes))
+    }
+
+    /** Makes calls of the store, or leaves them to other routers. */
+    fun callStore(isWanted: Boolean) {
+        val isDelegated = state.phase is FollowState.Phase.Delegated
+        if (isWanted == isDelegated) submit(if (isWanted) FollowEvent.Resumed else FollowEvent.Delegated)
     }
 
     private fun submit(event: FollowEvent) {
         val step = reducer.reduce(state, event, EventLoopClock.now())
+        val before = state.revision
         state = step.state
         step.effects.forEach { carryOut(it) }
         schedule()
+        if (state.revision > before) onRevision()
     }
 
     private fun carryOut(effect: FollowEffect) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -9,7 +9,9 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.compression.StandardCompressionOptions
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContentCompressor
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -20,13 +22,13 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Listens at [address] and answers each request by its target, path and query, with what [reply] gives. Bodies of
- * requests are ignored.
+ * Listens at [address] and answers each request by its target, path and query, with what [reply] passes on, at once or
+ * later. Bodies of requests are ignored. Large answers are compressed for clients that accept it.
  */
 internal class HttpEndpoint(
     private val address: RouterAddress,
     private val eventLoops: EventLoopGroup,
-    private val reply: (String) -> HttpReply,
+    private val reply: (String, (HttpReply) -> Unit) -> Unit,
 ) {
     /** Binds the address; throws when it is taken. */
     fun start() {
@@ -42,16 +44,18 @@
 
     private inner class ConnectionInitializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpServerCodec()).addLast(Answering())
+            channel.pipeline().addLast(HttpServerCodec()).addLast(compressor()).addLast(Answering())
         }
     }
 
+    private fun compressor() = HttpContentCompressor(LEAST_COMPRESSED_BYTES, StandardCompressionOptions.gzip())
+
     private inner class Answering : SimpleChannelInboundHandler<HttpObject>() {
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
             if (message.decoderResult().isFailure) {
                 context.close()
             } else if (message is HttpRequest) {
-                write(context, reply(message.uri()))
+                reply(message.uri()) { write(context, it) }
             }
         }
 
@@ -69,4 +73,8 @@
             context.writeAndFlush(response)
         }
     }
+
+    private companion object {
+        const val LEAST_COMPRESSED_BYTES = 4_096
+    }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerAnswer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerAnswer.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What a router tells another: the [routers] that it knows, as host:port, and the values of the store that are newer
- * there.
+ * What a router tells another: the [routers] that it heard from lately, as host:port, what it knows newer of the store,
+ * and whether the store serves it.
  */
 @Serializable
-internal data class PeerAnswer(val routers: List<String>, val newer: List<KnownValues>)
+internal data class PeerAnswer(val routers: List<String>, val newer: List<KnownValues>, val isServed: Boolean)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
@@ -1,43 +1,105 @@
 package org.cicadaarch.forwarding.peer
 
+import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.Timestamp
+import org.cicadaarch.placement.RendezvousHash
 
 /**
- * The other routers that this one has heard of, the latest last. [seeds] stay, others leave after some failures in a
- * row or when more recent ones take their place.
+ * The other routers that this one has heard of, and which routers watch the store for all.
+ *
+ * All routers rank the addresses that they know by the same hash; the first [WATCHERS] that are usable watch. The
+ * directory keeps the first [MOST_PEERS] of that order, so that all soon know the same ones, and its [seeds]. A router
+ * that fails is passed over for a while, and forgotten after some failures in a row until it is heard from again.
  */
 internal class PeerDirectory(private val self: RouterAddress, private val seeds: List<RouterAddress>) {
-    private val failures = LinkedHashMap<RouterAddress, Int>()
+    private val entries = HashMap<RouterAddress, Entry>()
 
     init {
-        seeds.forEach { heardOf(it) }
+        seeds.filter { it != self }.forEach { entries[it] = Entry() }
     }
 
     /** All known routers but this one. */
-    val peers: List<RouterAddress> get() = failures.keys.toList()
+    val peers: Set<RouterAddress> get() = entries.keys
 
-    /** [peer] is said to exist. */
-    fun heardOf(peer: RouterAddress) {
-        if (peer == self || peer in failures) return
-        failures[peer] = 0
-        if (failures.size > MOST_PEERS) failures.keys.firstOrNull { it !in seeds }?.let { failures.remove(it) }
+    /** Another router says that it heard from [peer]. */
+    fun heardOf(peer: RouterAddress, now: Timestamp) {
+        if (peer == self) return
+        val entry = entries.getOrPut(peer) { Entry() }
+        if (entry.forgottenUntil?.let { it <= now } == true) entries[peer] = Entry()
+        trim()
     }
 
-    /** [peer] answered. */
-    fun answered(peer: RouterAddress) {
-        if (peer in failures) failures[peer] = 0
+    /** [peer] asked or answered; [isServed] tells whether the store serves it, if it said so. */
+    fun heardFrom(peer: RouterAddress, now: Timestamp, isServed: Boolean? = null) {
+        if (peer == self) return
+        val before = entries[peer]
+        val unusableUntil = when (isServed) {
+            null -> before?.unusableUntil
+            true -> null
+            false -> now + UNSERVED_TIME
+        }
+        entries[peer] = Entry(heardAt = now, unusableUntil = unusableUntil)
+        trim()
     }
 
     /** [peer] did not answer. */
-    fun failed(peer: RouterAddress) {
-        val count = (failures[peer] ?: return) + 1
-        failures[peer] = count
-        if (count >= MOST_FAILURES && peer !in seeds) failures.remove(peer)
+    fun failed(peer: RouterAddress, now: Timestamp) {
+        val entry = entries[peer] ?: return
+        val failures = entry.failures + 1
+        val isForgotten = failures >= MOST_FAILURES && peer !in seeds
+        entries[peer] = entry.copy(
+            failures = failures,
+            unusableUntil = now + FAILED_TIME,
+            forgottenUntil = if (isForgotten) now + FORGOTTEN_TIME else null,
+        )
     }
 
-    private companion object {
-        /** Enough to find routers that the store serves, whatever the size of the fleet. */
+    /** The routers that should watch the store as far as this one knows, this one among them or not. */
+    fun watchers(now: Timestamp): List<RouterAddress> =
+        candidates(now).filter { it == self || entries.getValue(it).isUsable(now) }.take(WATCHERS)
+
+    /** The routers that watch the store when the first ones fail. */
+    fun candidates(now: Timestamp): List<RouterAddress> =
+        ranked(entries.filterValues { it.forgottenUntil.let { until -> until == null || until <= now } }.keys + self)
+            .take(MOST_PEERS)
+
+    /** What to tell other routers: those that were heard from lately, in the order of rank. */
+    fun live(now: Timestamp): List<RouterAddress> =
+        ranked(entries.filterValues { entry -> entry.heardAt.let { it != null && now - it < LIVE_TIME } }.keys)
+
+    private fun trim() {
+        if (entries.size <= MOST_ENTRIES) return
+        val kept = ranked(entries.filterValues { it.forgottenUntil == null }.keys).take(MOST_PEERS) + seeds
+        entries.keys.retainAll(kept.toSet())
+    }
+
+    private fun ranked(routers: Collection<RouterAddress>): List<RouterAddress> =
+        RendezvousHash.rank(key = RANK_KEY, members = routers, name = { it.toString() })
+
+    private data class Entry(
+        val heardAt: Timestamp? = null,
+        val failures: Int = 0,
+        val unusableUntil: Timestamp? = null,
+        val forgottenUntil: Timestamp? = null,
+    ) {
+        fun isUsable(now: Timestamp): Boolean = unusableUntil.let { it == null || it <= now }
+    }
+
+    companion object {
+        /** Routers that watch the store: several in each availability zone, however many routers there are. */
+        const val WATCHERS = 8
+
+        /** Routers that may come to watch; enough that a store which turns some away serves one of them. */
         const val MOST_PEERS = 24
-        const val MOST_FAILURES = 3
+        private const val RANK_KEY = "store-watchers"
+        private const val MOST_ENTRIES = 64
+        private const val MOST_FAILURES = 3
+        private val UNSERVED_TIME = 1.seconds
+        private val FAILED_TIME = 3.seconds
+        private val FORGOTTEN_TIME = 60.seconds
+
+        /** A router that was not heard from for so long is not passed on, so that word of a lost one dies out. */
+        private val LIVE_TIME = 5.seconds
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerExchange.kt
@@ -4,18 +4,16 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.QueryStringDecoder
 import io.netty.handler.codec.http.QueryStringEncoder
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.cicadaarch.dispatch.follow.FollowState
+import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.forwarding.fleet.FollowRunner
-import org.cicadaarch.forwarding.http.HttpEndpoint
-import org.cicadaarch.forwarding.http.HttpReply
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.store.HttpCall
@@ -23,10 +21,12 @@
 import org.cicadaarch.store.HttpOutcome
 
 /**
- * Exchanges values of the store with other routers, so that a router which the store refuses still learns of changes.
+ * Exchanges values of the store with other routers, so that few routers watch the store for all, and a router that the
+ * store refuses still learns of changes.
  *
- * Each router asks a random other one at intervals, more often while the store does not answer it, and tells the
- * revisions that it has; the other one sends what it has newer. Both learn of further routers on the way.
+ * A router that watches asks a random other one at intervals, more often while the store does not answer it. Any other
+ * router keeps [LINES] questions open, each to one watching router after the other, so that a watching router which has
+ * lost the store unnoticed holds up no news for longer than a question lasts.
  */
 internal class PeerExchange(
     private val self: RouterAddress,
@@ -36,87 +36,120 @@
     private val followers: Map<String, FollowRunner>,
 ) {
     private val directory = PeerDirectory(self, seeds)
+    private val port = PeerPort(self, eventLoops, eventLoop, directory, followers)
     private val clients = HashMap<RouterAddress, HttpClient>()
     private val random = Random(self.hashCode())
+    private val startedAt = EventLoopClock.now()
+    private var turn = random.nextInt(PeerDirectory.WATCHERS)
 
     /** Binds the address; throws when it is taken. */
-    fun listen() = HttpEndpoint(self, eventLoops, ::reply).start()
+    fun listen() = port.listen()
 
     /** Starts to ask other routers. */
-    fun start() = ask()
+    fun start() = repeat(LINES) { line -> askNext(line) }
 
-    private fun ask() {
-        directory.peers.randomOrNull(random)?.let { ask(it) }
-        eventLoop.schedule(::ask, pause().inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    private fun askNext(line: Int) {
+        val now = EventLoopClock.now()
+        val watchers = directory.watchers(now)
+        val isWatching = self in watchers
+        if (isWatching != areWatching()) callStore(isWatching)
+        val others = watchers - self
+        when {
+            !isWatching && others.isNotEmpty() -> {
+                turn += 1
+                ask(others[turn.mod(others.size)], PeerQuery.LONGEST_WAIT) { isServed ->
+                    again(line, if (isServed) Duration.ZERO else PAUSE_WITHOUT_STORE)
+                }
+            }
+
+            line == 0 -> {
+                directory.candidates(now).filter { it != self }.randomOrNull(random)?.let { ask(it, Duration.ZERO) {} }
+                again(line, pause())
+            }
+
+            else -> again(line, PAUSE)
+        }
+    }
+
+    private fun again(line: Int, pause: Duration) {
+        eventLoop.schedule({ askNext(line) }, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun areWatching(): Boolean = followers.values.none { it.state.phase is FollowState.Phase.Delegated }
+
+    private fun callStore(isWanted: Boolean) {
+        LogEvents.info("store-watching") {
+            "watches" to isWanted
+            "routers" to directory.peers.size
+        }
+        followers.values.forEach { it.callStore(isWanted) }
     }
 
     private fun pause(): Duration {
         val isStoreLost = followers.values.any { it.state.failures > 0 || it.state.revision == 0L }
-        return (if (isStoreLost) PAUSE_WITHOUT_STORE else PAUSE) * random.nextDouble(LEAST_JITTER, MOST_JITTER)
+        val isNew = EventLoopClock.now() - startedAt < NEW_TIME
+        val pause = when {
+            isNew -> PAUSE_WHEN_NEW
+            isStoreLost -> PAUSE_WITHOUT_STORE
+            else -> PAUSE
+        }
+        return pause * random.nextDouble(LEAST_JITTER, MOST_JITTER)
     }
 
-    private fun ask(peer: RouterAddress) {
-        val query = QueryStringEncoder(PATH)
-        query.addParam(FROM, self.toString())
+    private fun ask(peer: RouterAddress, wait: Duration, onDone: (isServed: Boolean) -> Unit) {
+        val query = QueryStringEncoder(PeerQuery.PATH)
+        query.addParam(PeerQuery.FROM, self.toString())
+        query.addParam(PeerQuery.WAIT, wait.inWholeMilliseconds.toString())
         followers.forEach { (prefix, follower) -> query.addParam(prefix, follower.state.revision.toString()) }
-        client(peer).exchange(HttpCall(HttpMethod.GET, query.toString()), TIMEOUT) { outcome ->
-            eventLoop.execute { answered(peer, outcome) }
+        client(
+            peer,
+        ).exchange(HttpCall(HttpMethod.GET, query.toString(), acceptsGzip = true), wait + TIMEOUT) { outcome ->
+            eventLoop.execute { onDone(answered(peer, outcome)) }
         }
     }
 
     private fun client(peer: RouterAddress): HttpClient {
-        (clients.keys - directory.peers.toSet()).forEach { clients.remove(it)?.close() }
+        (clients.keys - directory.peers).forEach { clients.remove(it)?.close() }
         return clients.getOrPut(peer) { HttpClient(eventLoops, InetSocketAddress(peer.host, peer.port)) }
     }
 
-    private fun answered(peer: RouterAddress, outcome: HttpOutcome) {
-        val answer = (outcome as? HttpOutcome.Answered)?.takeIf { it.status == HttpResponseStatus.OK.code() }
-        if (answer == null) {
-            directory.failed(peer)
+    /** Takes what [peer] tells; whether it answered and the store serves it. */
+    private fun answered(peer: RouterAddress, outcome: HttpOutcome): Boolean {
+        val now = EventLoopClock.now()
+        val told = (outcome as? HttpOutcome.Answered)?.takeIf { it.status == HttpResponseStatus.OK.code() }
+            ?.let { decoded(peer, it.body) }
+        if (told == null) {
+            directory.failed(peer, now)
             LogEvents.debug("peer-silent") {
                 "peer" to peer
                 "outcome" to outcome
             }
-            return
-        }
-        directory.answered(peer)
-        val told = try {
-            Json.decodeFromString<PeerAnswer>(answer.body)
-        } catch (exception: IllegalArgumentException) {
-            LogEvents.error("peer-answer-unreadable", exception) { "peer" to peer }
-            return
+            return false
         }
-        told.routers.mapNotNull { address(it) }.forEach { directory.heardOf(it) }
-        told.newer.forEach { followers[it.prefix]?.relay(it.values, it.revision) }
+        directory.heardFrom(peer, now, told.isServed)
+        told.routers.mapNotNull { PeerQuery.address(it) }.forEach { directory.heardOf(it, now) }
+        told.newer.forEach { followers[it.prefix]?.relay(it.changes()) }
+        return told.isServed
     }
 
-    private fun reply(uri: String): HttpReply {
-        val query = QueryStringDecoder(uri)
-        if (query.path() != PATH) return HttpReply(HttpResponseStatus.NOT_FOUND)
-        query.parameters()[FROM]?.firstOrNull()?.let { address(it) }?.let { directory.heardOf(it) }
-        val newer = followers.mapNotNull { (prefix, follower) ->
-            val revision = query.parameters()[prefix]?.firstOrNull()?.toLongOrNull()
-            val known = follower.state
-            val isNewer = revision != null && known.revision > revision
-            if (isNewer) KnownValues(prefix, known.revision, known.values) else null
-        }
-        val answer = PeerAnswer(directory.peers.shuffled(random).take(TOLD_PEERS).map { it.toString() }, newer)
-        return HttpReply(HttpResponseStatus.OK, Json.encodeToString(answer), contentType = "application/json")
-    }
-
-    private fun address(text: String): RouterAddress? {
-        val port = text.substringAfterLast(':').toIntOrNull() ?: return null
-        return RouterAddress(text.substringBeforeLast(':'), port)
+    private fun decoded(peer: RouterAddress, body: String): PeerAnswer? = try {
+        Json.decodeFromString<PeerAnswer>(body)
+    } catch (exception: IllegalArgumentException) {
+        LogEvents.error("peer-answer-unreadable", exception) { "peer" to peer }
+        null
     }
 
     private companion object {
-        const val PATH = "/fleet"
-        const val FROM = "from"
-        const val TOLD_PEERS = 4
+        /** Questions that a router which does not watch keeps open; with two, one lost router delays no news. */
+        const val LINES = 2
 
         /** A change reaches a router that the store refuses within a few of these. */
         val PAUSE = 1500.milliseconds
         val PAUSE_WITHOUT_STORE = 400.milliseconds
+
+        /** A new router asks often, to know soon whether others watch. */
+        val PAUSE_WHEN_NEW = 200.milliseconds
+        val NEW_TIME = 2000.milliseconds
         val TIMEOUT = 500.milliseconds
         const val LEAST_JITTER = 0.8
         const val MOST_JITTER = 1.2
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpCall.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpCall.kt
@@ -10,9 +10,14 @@
 import java.net.InetSocketAddress
 
 /**
- * An HTTP request with a JSON [body], empty for none.
+ * An HTTP request with a JSON [body], empty for none. The answer may be compressed if [acceptsGzip].
  */
-data class HttpCall(val method: HttpMethod, val path: String, val body: String = "") {
+data class HttpCall(
+    val method: HttpMethod,
+    val path: String,
+    val body: String = "",
+    val acceptsGzip: Boolean = false,
+) {
     /** The request to [endpoint] as Netty writes it. */
     fun toRequest(endpoint: InetSocketAddress): FullHttpRequest {
         val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
@@ -21,6 +26,7 @@
             .set(HttpHeaderNames.HOST, "${endpoint.hostString}:${endpoint.port}")
             .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
             .set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        if (acceptsGzip) request.headers().set(HttpHeaderNames.ACCEPT_ENCODING, HttpHeaderValues.GZIP)
         return request
     }
 }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContentDecompressor
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
@@ -62,7 +63,9 @@
         deadline: TimeSource.Monotonic.ValueTimeMark,
         onOutcome: (HttpOutcome) -> Unit,
     ) {
-        val handlers = { listOf(HttpObjectAggregator(MAXIMUM_ANSWER_BYTES), HttpExchangeHandler()) }
+        val handlers = {
+            listOf(HttpContentDecompressor(0), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES), HttpExchangeHandler())
+        }
         connect(-deadline.elapsedNow(), handlers) { future ->
             when {
                 future.isSuccess -> write(future.channel(), call, deadline, onOutcome)
