--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
+++ b/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.net.DatagramSocket
-import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.URI
@@ -15,6 +14,7 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -162,6 +162,8 @@
         const val MAXIMUM_BODY_BYTES: Int = 65_536
 
         private const val HOST = "127.0.0.1"
+        private const val FIRST_PORT = 20_000
+        private const val LAST_PORT = 32_000
         private const val FLEET_KEY = "cicadaarch/fleet"
         private val ZONE = ZoneName("zone")
         private val REGION = RegionName("region")
@@ -180,10 +182,13 @@
 
         private fun loopback(port: Int): RouterAddress = RouterAddress(HOST, port)
 
-        private fun freePort(): Int = generateSequence {
-            ServerSocket(0, 1, InetAddress.getByName(HOST)).use { it.localPort }
-        }.first { port ->
-            runCatching { DatagramSocket(InetSocketAddress(HOST, port)).close() }.isSuccess
+        /** Below the ports that outgoing connections take, one of which could be taken before the router binds it. */
+        private fun freePort(): Int = generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }.first { port ->
+            val address = InetSocketAddress(HOST, port)
+            runCatching {
+                ServerSocket().use { it.bind(address) }
+                DatagramSocket(address).close()
+            }.isSuccess
         }
 
         private fun rootLogger(): Logger = LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME) as Logger
