Gather changes of the store for a moment on their way to other routers

Change: a router waits 0.2 s after a change before it waits for the next ones, answers open questions 0.1 s after a change, encodes once for all that know the same, and ranks the live routers twice a second.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowReducer.kt
@@ -161,8 +161,9 @@
             log = if (value == null) log.removed(item.key, item.revision) else log.written(item.key, item.revision)
         }
         val next = state.copy(revision = maxOf(state.revision, result.revision), log = log)
-        val step = if (changes.isEmpty()) Step(next) else replaced(next, values, now)
-        return step.then { watch(it) }
+        if (changes.isEmpty()) return watch(next)
+        val pausing = next.copy(phase = Phase.Pausing(now + GATHERING_TIME, isReading = false))
+        return replaced(pausing, values, now)
     }
 
     private fun replaced(
@@ -205,6 +206,9 @@
         const val MOST_DOUBLINGS = 3
         val WATCH_TIME = 10.seconds
         val PROBE_TIME = 200.milliseconds
+
+        /** Changes that follow each other within this time cost one call. */
+        val GATHERING_TIME = 200.milliseconds
         const val PAGE_SIZE = 500
 
         /** The least text that makes a key the next one after another. */
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowReducerTest.kt
@@ -27,6 +27,17 @@
         assertEquals(5, assertIs<StoreCommand.AwaitChange>(lastCall().command).afterRevision)
     }
 
+    @Test
+    fun `Given a change, when it came, then the next call waits a moment for those that follow it`() {
+        follow("a")
+        submit(FollowEvent.Answered(state.call, deleted("targets/a", revision = 9)))
+        assertTrue(effects.none { it is FollowEffect.Call })
+        now = checkNotNull(reducer.nextTick(state))
+        assertEquals(200.milliseconds, now - Timestamp(0))
+        submit(FollowEvent.Tick)
+        assertEquals(9, assertIs<StoreCommand.AwaitChange>(lastCall().command).afterRevision)
+    }
+
     @Test
     fun `Given a known value, when it is deleted while the store is up, then it is gone at once`() {
         follow("a", "b")
@@ -178,7 +189,14 @@
         answer(StoreResult.Values(emptyList(), revision = 8))
     }
 
-    private fun answer(result: StoreResult) = submit(FollowEvent.Answered(state.call, result))
+    /** Answers the next call, which may be made only after a pause. */
+    private fun answer(result: StoreResult) {
+        if (state.phase is FollowState.Phase.Pausing) {
+            now = maxOf(now, checkNotNull(reducer.nextTick(state)))
+            submit(FollowEvent.Tick)
+        }
+        submit(FollowEvent.Answered(state.call, result))
+    }
 
     private fun submit(event: FollowEvent) {
         val step = reducer.reduce(state, event, now)
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowRelayTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/follow/FollowRelayTest.kt
@@ -126,7 +126,14 @@
     private fun change(vararg items: StoredValue) =
         answer(StoreResult.Values(items.toList(), items.maxOf { it.revision }))
 
-    private fun answer(result: StoreResult) = submit(FollowEvent.Answered(watching.call, result))
+    /** Answers the next call, which may be made only after a pause. */
+    private fun answer(result: StoreResult) {
+        if (watching.phase is FollowState.Phase.Pausing) {
+            now = maxOf(now, checkNotNull(reducer.nextTick(watching)))
+            submit(FollowEvent.Tick)
+        }
+        submit(FollowEvent.Answered(watching.call, result))
+    }
 
     private fun submit(event: FollowEvent) {
         val step = reducer.reduce(watching, event, now)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerPort.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerPort.kt
@@ -5,16 +5,19 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.json.Json
 import org.cicadaarch.forwarding.EventLoopClock
 import org.cicadaarch.forwarding.fleet.FollowRunner
 import org.cicadaarch.forwarding.http.HttpEndpoint
 import org.cicadaarch.forwarding.http.HttpReply
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.Timestamp
 
 /**
- * Answers other routers, at once when this one knows something newer of the store than they do, else when it learns of
- * it or the time that they wait is over.
+ * Answers other routers, at once when this one knows something newer of the store than they do, else soon after it
+ * learns of it or when the time that they wait is over. Changes that follow each other closely go out together, and
+ * what is told to routers that know the same is written once.
  */
 internal class PeerPort(
     private val self: RouterAddress,
@@ -24,9 +27,12 @@
     private val followers: Map<String, FollowRunner>,
 ) {
     private val waiting = LinkedHashSet<Question>()
+    private var isAnswering = false
+    private var told = emptyList<String>()
+    private var toldUntil: Timestamp? = null
 
     init {
-        followers.values.forEach { it.onRevision = ::answerWaiting }
+        followers.values.forEach { it.onRevision = ::answerSoon }
     }
 
     /** Binds the address; throws when it is taken. */
@@ -40,21 +46,46 @@
         val revisions = parameters.mapNotNull { (key, value) -> value.toLongOrNull()?.let { key to it } }.toMap()
         val waitMillis = revisions[PeerQuery.WAIT]?.coerceIn(0, PeerQuery.LONGEST_WAIT.inWholeMilliseconds) ?: 0
         val question = Question(revisions, respond)
-        if (waitMillis == 0L || newerFor(question).isNotEmpty() || !isServed()) return answer(question)
+        if (waitMillis == 0L || isNewerFor(question) || !isServed()) return answer(question, body(question))
         waiting += question
-        eventLoop.schedule({ if (waiting.remove(question)) answer(question) }, waitMillis, TimeUnit.MILLISECONDS)
+        eventLoop.schedule({
+            if (waiting.remove(question)) answer(question, body(question))
+        }, waitMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun answerSoon() {
+        if (isAnswering || waiting.isEmpty()) return
+        isAnswering = true
+        eventLoop.schedule(::answerWaiting, GATHERING_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun answerWaiting() {
-        val due = waiting.filter { newerFor(it).isNotEmpty() }
-        waiting.removeAll(due.toSet())
-        due.forEach { answer(it) }
+        isAnswering = false
+        val due = waiting.filter { isNewerFor(it) }.groupBy { it.revisions }
+        due.values.flatten().forEach { waiting.remove(it) }
+        due.values.forEach { alike ->
+            val body = body(alike.first())
+            alike.forEach { answer(it, body) }
+        }
+    }
+
+    private fun answer(question: Question, body: String) =
+        question.respond(HttpReply(HttpResponseStatus.OK, body, "application/json"))
+
+    private fun body(question: Question): String =
+        Json.encodeToString(PeerAnswer(liveRouters(), newerFor(question), isServed()))
+
+    private fun liveRouters(): List<String> {
+        val now = EventLoopClock.now()
+        if (toldUntil.let { it == null || it <= now }) {
+            told = directory.live(now).take(TOLD_PEERS).map { it.toString() }
+            toldUntil = now + TOLD_TIME
+        }
+        return told
     }
 
-    private fun answer(question: Question) {
-        val told = directory.live(EventLoopClock.now()).take(TOLD_PEERS).map { it.toString() }
-        val answer = PeerAnswer(told, newerFor(question), isServed())
-        question.respond(HttpReply(HttpResponseStatus.OK, Json.encodeToString(answer), "application/json"))
+    private fun isNewerFor(question: Question): Boolean = followers.any { (prefix, follower) ->
+        question.revisions[prefix].let { it != null && it < follower.state.revision }
     }
 
     private fun newerFor(question: Question): List<KnownValues> = followers.mapNotNull { (prefix, follower) ->
@@ -70,5 +101,7 @@
 
     private companion object {
         const val TOLD_PEERS = PeerDirectory.MOST_PEERS
+        val TOLD_TIME = 500.milliseconds
+        val GATHERING_TIME = 100.milliseconds
     }
 }
