--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -39,8 +39,7 @@
     }
 
     fun progressed(id: ExchangeId, attempt: Int) {
-        val (open, running) = runningAttempt(id, attempt) ?: return
-        put(open.copy(phase = running.copy(heardAt = now)))
+        val (_, running) = runningAttempt(id, attempt) ?: return
         updateTarget(running.target) { it.heard(now) }
     }
 
@@ -99,16 +98,16 @@
             fail(open, Failure.TimedOut("time-over"))
             return
         }
-        val other = alternative(open, setOf(phase.target)) ?: return postpone(open, phase)
-        if (!spendRetry(open.request.service)) return postpone(open, phase)
+        val other = alternative(open, setOf(phase.target))
+        if (other == null || !spendRetry(open.request.service)) {
+            put(open.copy(phase = phase.copy(isLast = true)))
+            return
+        }
         cancelRunning(open)
         updateTarget(phase.target) { it.failed(now) }
         send(open, other)
     }
 
-    /** Waits for the present attempt for the rest of the request's time. */
-    private fun postpone(open: OpenRequest, phase: Running) = put(open.copy(phase = phase.copy(sentAt = open.endsAt)))
-
     private fun answered(open: OpenRequest, result: AttemptResult.Answered) {
         val route = open.request.route
         val mayRepeat = !result.isDelivered && result.status >= SERVER_ERROR &&
@@ -171,7 +170,7 @@
         val attempt = open.attempts + 1
         put(
             open.copy(
-                phase = Running(target = id, sentAt = now, heardAt = now),
+                phase = Running(target = id, sentAt = now),
                 attempts = attempt,
                 starts = open.starts + 1,
                 tried = open.tried + id,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
@@ -24,7 +24,7 @@
         /** A place at a target, since [since]. */
         data class Waiting(val since: Timestamp) : Phase()
 
-        /** The answer of [target] to the attempt that was sent at [sentAt]. */
-        data class Running(val target: TargetId, val sentAt: Timestamp, val heardAt: Timestamp) : Phase()
+        /** The answer of [target] to the attempt that was sent at [sentAt], to the end if [isLast]. */
+        data class Running(val target: TargetId, val sentAt: Timestamp, val isLast: Boolean = false) : Phase()
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
@@ -37,7 +37,7 @@
     /** When the attempt is given up for another, or null when it must not be. */
     fun abandonedAt(open: OpenRequest, phase: Running): Timestamp? {
         val route = open.request.route
-        val isAllowed = !route.isStream && route.repetition == Repetition.IDEMPOTENT &&
+        val isAllowed = !phase.isLast && !route.isStream && route.repetition == Repetition.IDEMPOTENT &&
             open.starts < route.maximumAttempts
         return if (isAllowed) phase.sentAt + silence(route.latencyObjective) else null
     }
