--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerExchange.kt
@@ -50,6 +50,7 @@
 
     private fun askNext(line: Int) {
         val now = EventLoopClock.now()
+        if (now - startedAt < START_TIME && isUninformed()) return again(line, START_PAUSE)
         val watchers = directory.watchers(now)
         val isWatching = self in watchers
         if (isWatching != areWatching()) callStore(isWatching)
@@ -85,8 +86,10 @@
         followers.values.forEach { it.callStore(isWanted) }
     }
 
+    private fun isUninformed(): Boolean = followers.values.any { it.state.revision == 0L }
+
     private fun pause(): Duration {
-        val isStoreLost = followers.values.any { it.state.failures > 0 || it.state.revision == 0L }
+        val isStoreLost = isUninformed() || followers.values.any { it.state.failures > 0 }
         val isNew = EventLoopClock.now() - startedAt < NEW_TIME
         val pause = when {
             isNew -> PAUSE_WHEN_NEW
@@ -147,6 +150,10 @@
         val PAUSE = 1500.milliseconds
         val PAUSE_WITHOUT_STORE = 400.milliseconds
 
+        /** Time to read the store first: whole values for all that start at once would overwhelm the seeds. */
+        val START_TIME = 400.milliseconds
+        val START_PAUSE = 50.milliseconds
+
         /** A new router asks often, to know soon whether others watch. */
         val PAUSE_WHEN_NEW = 200.milliseconds
         val NEW_TIME = 2000.milliseconds
