Look up once what was written since a revision, instead of once for each value

Cause (found by reading): FollowState.changesAfter filtered the log anew for every value, the square of the number of targets on each answer of a watching router. Change: the set is computed before the filter. The effect on the grown sites was not measured.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/follow/FollowState.kt
@@ -29,10 +29,11 @@
         if (revision <= since) return null
         val isComplete = since >= log.completeSince && since > 0
         val present = values - missing.keys
+        val written = log.writtenAfter(since)
         return KnownChanges(
             since = since.takeIf { isComplete },
             revision = revision,
-            values = if (isComplete) present.filterKeys { it in log.writtenAfter(since) } else present,
+            values = if (isComplete) present.filterKeys { it in written } else present,
             removed = if (isComplete) log.removedAfter(since) - missing.keys else emptySet(),
             settling = missing.mapValues { (_, goneAt) -> goneAt - now },
         )
