Log how a router learns of targets and of their load, and run that code in virtual time

Change: values-relayed names the peer and the removed and expiring keys; values-removed and values-expired are new; attempt-sent has the report's age, request-ended the reported load. PrefixWatcher, PeerSync and PeerServer get their clock, timers and transport as interfaces, so that a test can run them in virtual time; what they do is the same.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -10,7 +10,8 @@
 sealed class DispatchEffect {
     /**
      * Send the request to [target], which has [timeLeft] to respond and may copy the cache of the prompt from
-     * [cacheSource]. [estimatedLoad] is the load of [target] at its selection.
+     * [cacheSource]. [estimatedLoad] is the load of [target] at its selection, by a report of age [loadReportAge] if there
+     * is one.
      */
     data class Send(
         val id: ExchangeId,
@@ -18,6 +19,7 @@
         val target: TargetEntry,
         val timeLeft: Duration,
         val estimatedLoad: Double,
+        val loadReportAge: Duration? = null,
         val cacheSource: TargetEntry? = null,
     ) : DispatchEffect()
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -192,6 +192,7 @@
             target = target.entry,
             timeLeft = open.deadline - now,
             estimatedLoad = target.load(now),
+            loadReportAge = target.reportedAt?.let { now - it },
             cacheSource = open.request.promptKey?.let { recordPromptSent(open.request.service, it, id) },
         )
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -13,11 +13,13 @@
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.fleet.FleetReader
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
+import org.cicadaarch.forwarding.fleet.TargetRemovalPolicy
 import org.cicadaarch.forwarding.format.FleetFormat
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.forwarding.http.HttpEndpoint
 import org.cicadaarch.forwarding.http.HttpReply
 import org.cicadaarch.forwarding.observation.ForwardingMetrics
+import org.cicadaarch.forwarding.peer.HttpPeerTransport
 import org.cicadaarch.forwarding.peer.PeerSync
 import org.cicadaarch.forwarding.target.TargetConnectionPool
 import org.cicadaarch.logging.LogEvents
@@ -35,6 +37,7 @@
     private val fleetFormat: FleetFormat,
 ) {
     private val eventLoop = eventLoops.next()
+    private val scheduler = EventLoopScheduler(eventLoop)
     private val stopping = AtomicBoolean()
     private val stopped = CountDownLatch(1)
     private val connectionPool = TargetConnectionPool(eventLoop, headerFormat)
@@ -57,23 +60,24 @@
         removalGracePeriod = Duration.ZERO,
         minOutage = Duration.ZERO,
         store = store,
-        eventLoop = eventLoop,
+        scheduler = scheduler,
         onValues = fleetReader::configurationChanged,
     )
+    private val removalPolicy = TargetRemovalPolicy(settings.targetHeartbeatInterval, settings.drainTimeout)
     private val targetWatcher = PrefixWatcher(
         prefix = fleetFormat.targetPrefix,
-        removalGracePeriod = minOf(TARGET_REREGISTRATION_TIME, settings.drainTimeout - DRAIN_MARGIN),
-        minOutage = settings.targetHeartbeatInterval / 2,
+        removalGracePeriod = removalPolicy.gracePeriod,
+        minOutage = removalPolicy.minOutage,
         store = store,
-        eventLoop = eventLoop,
+        scheduler = scheduler,
         onValues = fleetReader::targetsChanged,
     )
 
     private val peerSync = PeerSync(
         self = settings.peerAddress,
         seeds = settings.seedPeers,
-        eventLoops = eventLoops,
-        eventLoop = eventLoop,
+        transport = HttpPeerTransport(settings.peerAddress, eventLoops),
+        scheduler = scheduler,
         prefixWatchers = prefixWatchers(),
     )
 
@@ -183,12 +187,6 @@
     private companion object {
         const val METRICS_PATH = "/metrics"
 
-        /** Targets whose entries expired during a store outage register again within about two seconds. */
-        val TARGET_REREGISTRATION_TIME = 2200.milliseconds
-
-        /** Time for the last request to a target that left to reach it. */
-        val DRAIN_MARGIN = 200.milliseconds
-
         /** The load balancer probes readiness every second and acts on two failed probes. */
         val LOAD_BALANCER_DELAY = 2500.milliseconds
         val DRAIN_POLL_INTERVAL = 50.milliseconds
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -6,6 +6,7 @@
 import org.cicadaarch.dispatch.request.DispatchEvent
 import org.cicadaarch.dispatch.request.DispatchRequest
 import org.cicadaarch.dispatch.routing.ClientAccount
+import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.forwarding.NanoTimeClock
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.forwarding.observation.ForwardingMetrics
@@ -35,6 +36,7 @@
     private var lastTarget: TargetId? = null
     private var attempts = 0
     private var firstPartMillis: Long? = null
+    private var reportedLoad: Int? = null
 
     /** Records that the first part of the response was written to the client. */
     fun responseStarted() {
@@ -51,6 +53,7 @@
             "attempt" to send.attempt
             "target" to send.target.id
             "load" to "%.1f".format(Locale.ROOT, send.estimatedLoad)
+            "reportAge" to send.loadReportAge?.inWholeMilliseconds
             "slots" to send.target.slots
             "prompt" to dispatchRequest.promptKey
             "cacheSource" to send.cacheSource?.id
@@ -58,6 +61,12 @@
         }
     }
 
+    /** Records the [load] that [target] reported in its response, and passes it to the dispatch reducer. */
+    fun loadReported(target: TargetId, load: LoadReport) {
+        reportedLoad = load.total
+        submit(DispatchEvent.LoadReported(target, load))
+    }
+
     /** Records the [result] of an attempt and logs it unless a response was received. */
     fun attemptEnded(number: Int, target: TargetId, result: AttemptResult) {
         metrics.recordAttempt(dispatchRequest.service, result)
@@ -85,6 +94,7 @@
             "account" to account?.id
             "target" to lastTarget
             "attempts" to attempts
+            "reportedLoad" to reportedLoad
             "status" to status
             "reason" to reason
             "firstPartMillis" to firstPartMillis
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -162,7 +162,7 @@
             head = response
             this.metadata = metadata
             val isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS
-            metadata.load?.let { context.submit(DispatchEvent.LoadReported(target, it)) }
+            metadata.load?.let { context.loadReported(target, it) }
             if (isFinished) return
             when {
                 isSuccess && (!metadata.isSigned || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) ->
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
@@ -1,28 +1,27 @@
 package org.cicadaarch.forwarding.fleet
 
-import io.netty.channel.EventLoop
-import io.netty.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.dispatch.watch.PrefixUpdate
 import org.cicadaarch.dispatch.watch.WatchEffect
 import org.cicadaarch.dispatch.watch.WatchEvent
 import org.cicadaarch.dispatch.watch.WatchReducer
 import org.cicadaarch.dispatch.watch.WatchState
-import org.cicadaarch.forwarding.NanoTimeClock
+import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.logging.LogEvents
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.store.Store
 
 /**
  * Watches the store's values under [prefix] and passes them to [onValues] after each change. All functions must be
- * called on [eventLoop]. The [WatchReducer] explains the grace period for removed values and the minimum outage.
+ * called in tasks of [scheduler]. The [WatchReducer] explains the grace period for removed values and the minimum outage.
  */
 internal class PrefixWatcher(
     private val prefix: String,
     removalGracePeriod: Duration,
     minOutage: Duration,
     private val store: Store,
-    private val eventLoop: EventLoop,
+    private val scheduler: TaskScheduler,
     private val onValues: (Map<String, String>) -> Unit,
 ) {
     private val reducer = WatchReducer(prefix, removalGracePeriod, minOutage)
@@ -30,7 +29,7 @@
     /** The known values and the progress of the watch. */
     var state = WatchState()
         private set
-    private var timer: ScheduledFuture<*>? = null
+    private var cancelTick: () -> Unit = {}
 
     /** Called each time the known revision increases. */
     var onNewRevision: () -> Unit = {}
@@ -38,14 +37,17 @@
     /** Starts to watch. */
     fun start() = submit(WatchEvent.Started)
 
-    /** Applies an update from another router if it is newer than the known values. */
-    fun applyPeerUpdate(update: PrefixUpdate) {
+    /** Applies an [update] that [peer] sent if it is newer than the known values. */
+    fun applyPeerUpdate(peer: RouterAddress, update: PrefixUpdate) {
         if (update.revision > state.revision) {
             LogEvents.info("values-relayed") {
                 "prefix" to prefix
+                "peer" to peer
                 "revision" to update.revision
                 "before" to state.revision
                 "since" to update.baseRevision
+                "removed" to listed(update.removed)
+                "expiring" to listed(update.expiring.keys)
             }
         }
         submit(WatchEvent.PeerUpdateReceived(update))
@@ -58,18 +60,42 @@
     }
 
     private fun submit(event: WatchEvent) {
-        val step = reducer.reduce(state, event, NanoTimeClock.now())
-        val before = state.revision
+        val before = state
+        val step = reducer.reduce(before, event, scheduler.now())
         state = step.state
+        logRemovals(event, before)
         step.effects.forEach { execute(it) }
         scheduleTick()
-        if (state.revision > before) onNewRevision()
+        if (state.revision > before.revision) onNewRevision()
+    }
+
+    /** Logs the values that were removed or started to expire because of [event], unless a peer caused it. */
+    private fun logRemovals(event: WatchEvent, before: WatchState) {
+        if (event is WatchEvent.PeerUpdateReceived) return
+        val removed = before.values.keys - state.values.keys
+        val expiring = state.expiring.keys - before.expiring.keys
+        if (removed.isEmpty() && expiring.isEmpty()) return
+        LogEvents.info(if (event is WatchEvent.Tick) "values-expired" else "values-removed") {
+            "prefix" to prefix
+            "revision" to state.revision
+            "before" to before.revision
+            "removed" to listed(removed)
+            "expiring" to listed(expiring)
+        }
+    }
+
+    /** The first [MAX_LISTED_KEYS] of [keys], and the number of the others; null if there are none. */
+    private fun listed(keys: Set<String>): String? {
+        if (keys.isEmpty()) return null
+        val names = keys.take(MAX_LISTED_KEYS).joinToString(separator = ",") { it.removePrefix(prefix) }
+        val others = keys.size - MAX_LISTED_KEYS
+        return if (others > 0) "$names,+$others" else names
     }
 
     private fun execute(effect: WatchEffect) {
         when (effect) {
             is WatchEffect.Call -> store.execute(effect.command) { result ->
-                eventLoop.execute { submit(WatchEvent.CallCompleted(effect.callId, result)) }
+                scheduler.execute { submit(WatchEvent.CallCompleted(effect.callId, result)) }
             }
 
             is WatchEffect.ValuesChanged -> onValues(effect.values)
@@ -88,9 +114,13 @@
     }
 
     private fun scheduleTick() {
-        timer?.cancel(false)
+        cancelTick()
         val next = reducer.nextTick(state) ?: return
-        val delay = (next - NanoTimeClock.now()).inWholeMilliseconds.coerceAtLeast(0) + 1
-        timer = eventLoop.schedule({ submit(WatchEvent.Tick) }, delay, TimeUnit.MILLISECONDS)
+        val delay = (next - scheduler.now()).coerceAtLeast(Duration.ZERO) + 1.milliseconds
+        cancelTick = scheduler.schedule(delay) { submit(WatchEvent.Tick) }
+    }
+
+    private companion object {
+        const val MAX_LISTED_KEYS = 16
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -1,17 +1,12 @@
 package org.cicadaarch.forwarding.peer
 
-import io.netty.channel.EventLoop
-import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.json.Json
-import org.cicadaarch.forwarding.NanoTimeClock
+import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
-import org.cicadaarch.forwarding.http.HttpEndpoint
 import org.cicadaarch.forwarding.http.HttpReply
-import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -20,9 +15,7 @@
  * are sent together, and senders with the same revisions share one serialized response.
  */
 internal class PeerServer(
-    private val self: RouterAddress,
-    private val eventLoops: EventLoopGroup,
-    private val eventLoop: EventLoop,
+    private val scheduler: TaskScheduler,
     private val directory: PeerDirectory,
     private val prefixWatchers: Map<String, PrefixWatcher>,
 ) {
@@ -35,30 +28,28 @@
         prefixWatchers.values.forEach { it.onNewRevision = ::scheduleResponses }
     }
 
-    /** Binds the address. Throws an exception when it is in use. */
-    fun listen() = HttpEndpoint(self, eventLoops) { uri, respond -> onRequest(uri, respond) }.start()
-
-    private fun onRequest(uri: String, respond: (HttpReply) -> Unit) {
+    /** Handles a request for [uri] of another router. [respond] is called once, at once or later. */
+    fun onRequest(uri: String, respond: (HttpReply) -> Unit) {
         val query = QueryStringDecoder(uri)
         if (query.path() != PeerQuery.PATH) return respond(HttpReply(HttpResponseStatus.NOT_FOUND))
         val parameters = query.parameters().mapValues { it.value.first() }
         parameters[PeerQuery.FROM]
             ?.let { PeerQuery.parseAddress(it) }
-            ?.let { directory.recordContact(it, NanoTimeClock.now()) }
+            ?.let { directory.recordContact(it, scheduler.now()) }
         val revisions = parameters.mapNotNull { (key, value) -> value.toLongOrNull()?.let { key to it } }.toMap()
         val waitMillis = revisions[PeerQuery.WAIT]?.coerceIn(0, PeerQuery.MAX_WAIT.inWholeMilliseconds) ?: 0
         val poll = PeerPoll(revisions, respond)
         if (waitMillis == 0L || hasUpdatesFor(poll) || !isWatchingStore()) return respondTo(poll, body(poll))
         pending += poll
-        eventLoop.schedule({
+        scheduler.schedule(waitMillis.milliseconds) {
             if (pending.remove(poll)) respondTo(poll, body(poll))
-        }, waitMillis, TimeUnit.MILLISECONDS)
+        }
     }
 
     private fun scheduleResponses() {
         if (isResponseScheduled || pending.isEmpty()) return
         isResponseScheduled = true
-        eventLoop.schedule(::respondToPending, BATCH_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        scheduler.schedule(BATCH_DELAY, ::respondToPending)
     }
 
     private fun respondToPending() {
@@ -78,7 +69,7 @@
         Json.encodeToString(PeerResponse(livePeerAddresses(), updatesFor(poll), isWatchingStore()))
 
     private fun livePeerAddresses(): List<String> {
-        val now = NanoTimeClock.now()
+        val now = scheduler.now()
         if (livePeersExpireAt.let { it == null || it <= now }) {
             livePeers = directory.live(now).take(MAX_LIVE_PEERS).map { it.toString() }
             livePeersExpireAt = now + LIVE_PEERS_TTL
@@ -92,7 +83,7 @@
 
     private fun updatesFor(poll: PeerPoll): List<PrefixUpdateMessage> = prefixWatchers.mapNotNull { (prefix, watcher) ->
         poll.revisions[prefix]
-            ?.let { watcher.state.updateSince(it, NanoTimeClock.now()) }
+            ?.let { watcher.state.updateSince(it, scheduler.now()) }
             ?.let { PrefixUpdateMessage.of(prefix, it) }
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -1,23 +1,16 @@
 package org.cicadaarch.forwarding.peer
 
-import io.netty.channel.EventLoop
-import io.netty.channel.EventLoopGroup
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringEncoder
-import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.json.Json
 import org.cicadaarch.dispatch.watch.WatchState
-import org.cicadaarch.forwarding.NanoTimeClock
+import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
-import org.cicadaarch.store.HttpCall
-import org.cicadaarch.store.HttpClient
 import org.cicadaarch.store.HttpOutcome
 
 /**
@@ -31,25 +24,24 @@
 internal class PeerSync(
     private val self: RouterAddress,
     seeds: List<RouterAddress>,
-    private val eventLoops: EventLoopGroup,
-    private val eventLoop: EventLoop,
+    private val transport: PeerTransport,
+    private val scheduler: TaskScheduler,
     private val prefixWatchers: Map<String, PrefixWatcher>,
 ) {
     private val directory = PeerDirectory(self, seeds)
-    private val server = PeerServer(self, eventLoops, eventLoop, directory, prefixWatchers)
-    private val clients = HashMap<RouterAddress, HttpClient>()
+    private val server = PeerServer(scheduler, directory, prefixWatchers)
     private val random = Random(self.hashCode())
-    private val startedAt = NanoTimeClock.now()
+    private val startedAt = scheduler.now()
     private var pollCount = random.nextInt(PeerDirectory.WATCHER_COUNT)
 
     /** Binds the peer address. Throws an exception when it is in use. */
-    fun listen() = server.listen()
+    fun listen() = transport.listen(server::onRequest)
 
     /** Starts to poll other routers. */
     fun start() = repeat(CONCURRENT_POLLS) { poller -> pollNext(poller) }
 
     private fun pollNext(poller: Int) {
-        val now = NanoTimeClock.now()
+        val now = scheduler.now()
         if (now - startedAt < STORE_READ_TIME && hasUnreadPrefix()) return scheduleNext(poller, READ_CHECK_INTERVAL)
         val activeWatchers = directory.watchers(now)
         val shouldWatch = self in activeWatchers
@@ -73,7 +65,7 @@
     }
 
     private fun scheduleNext(poller: Int, delay: Duration) {
-        eventLoop.schedule({ pollNext(poller) }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        scheduler.schedule(delay) { pollNext(poller) }
     }
 
     private fun isWatchEnabled(): Boolean = prefixWatchers.values.none { it.state.phase is WatchState.Phase.Delegated }
@@ -90,7 +82,7 @@
 
     private fun pollInterval(): Duration {
         val isStoreLost = hasUnreadPrefix() || prefixWatchers.values.any { it.state.failures > 0 }
-        val isRecentlyStarted = NanoTimeClock.now() - startedAt < STARTUP_TIME
+        val isRecentlyStarted = scheduler.now() - startedAt < STARTUP_TIME
         val interval = when {
             isRecentlyStarted -> STARTUP_POLL_INTERVAL
             isStoreLost -> STORE_LOST_POLL_INTERVAL
@@ -104,20 +96,15 @@
         query.addParam(PeerQuery.FROM, self.toString())
         query.addParam(PeerQuery.WAIT, wait.inWholeMilliseconds.toString())
         prefixWatchers.forEach { (prefix, watcher) -> query.addParam(prefix, watcher.state.revision.toString()) }
-        val call = HttpCall(HttpMethod.GET, query.toString(), acceptsGzip = true)
-        client(peer).exchange(call, wait + RESPONSE_TIMEOUT) { outcome ->
-            eventLoop.execute { onDone(handleOutcome(peer, outcome)) }
+        transport.closeAllExcept(directory.peers)
+        transport.poll(peer, query.toString(), wait + RESPONSE_TIMEOUT) { outcome ->
+            scheduler.execute { onDone(handleOutcome(peer, outcome)) }
         }
     }
 
-    private fun client(peer: RouterAddress): HttpClient {
-        (clients.keys - directory.peers).forEach { clients.remove(it)?.close() }
-        return clients.getOrPut(peer) { HttpClient(eventLoops, InetSocketAddress(peer.host, peer.port)) }
-    }
-
     /** Applies the response of [peer]. Returns whether it responded and is watching the store. */
     private fun handleOutcome(peer: RouterAddress, outcome: HttpOutcome): Boolean {
-        val now = NanoTimeClock.now()
+        val now = scheduler.now()
         val response = (outcome as? HttpOutcome.Answered)?.takeIf { it.status == HttpResponseStatus.OK.code() }
             ?.let { decode(peer, it.body) }
         if (response == null) {
@@ -130,7 +117,7 @@
         }
         directory.recordContact(peer, now, response.isWatchingStore)
         response.routers.mapNotNull { PeerQuery.parseAddress(it) }.forEach { directory.addReported(it, now) }
-        response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(it.toUpdate()) }
+        response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(peer, it.toUpdate()) }
         return response.isWatchingStore
     }
 
