Keep the expiry of a value when another router's update says nothing of it

Callers saw: requests sent to a target up to many seconds after the store had removed its entry; 502 once it was gone. Cause: a router that lost the store for a while keeps values that disappear just afterwards, and passes them on as expiring. A router that took such a value from it and then the changes of a second router, which had removed the value at once, replaced its expiries by the second one's, which had none. The removal lies before the base of those changes, so they do not name it either: the value stayed for good. Routers whose next update came from the first kind expired it at 14.5 s. Change: expiries are merged; only a new value ends one, and the earlier of two times counts. Why it works: a copy at revision R holds only keys that exist at R or that have an expiry of this router's own clock. PeerUpdateTest has three new rows.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -103,8 +103,8 @@
     ): Step<WatchState, WatchEffect> {
         val base = update.baseRevision
         if (update.revision <= state.revision || (base != null && base > state.revision)) return Step(state)
-        val expiringIn = update.expiring.filterKeys { it in state.values }
-        val kept = if (base == null) state.values.filterKeys { it in expiringIn } else state.values - update.removed
+        val expiringAtPeer = update.expiring.filterKeys { it in state.values }
+        val kept = if (base == null) state.values.filterKeys { it in expiringAtPeer } else state.values - update.removed
         val values = (kept + update.values).toPersistentMap()
         val changeLog = if (base == null) {
             ChangeLog.ofFullRead(update.values.keys, update.revision)
@@ -112,11 +112,25 @@
             val written = update.values.keys.fold(state.changeLog) { log, key -> log.withWrite(key, update.revision) }
             update.removed.fold(written) { log, key -> log.withRemoval(key, update.revision) }
         }
-        val expiring = expiringIn.mapValues { (_, timeLeft) -> now + timeLeft }.toPersistentMap()
-        val next = state.copy(values = values, expiring = expiring, revision = update.revision, changeLog = changeLog)
+        val next = state.copy(
+            values = values,
+            expiring = mergeExpiring(state, update, now).filterKeys { it in kept.keys }.toPersistentMap(),
+            revision = update.revision,
+            changeLog = changeLog,
+        )
         return Step(next, if (values == state.values) emptyList() else listOf(WatchEffect.ValuesChanged(values)))
     }
 
+    /**
+     * The keys that expire after [update], each at the earlier of the times that this router and the peer know. A peer
+     * that removed a key before the base of its update does not mention it, so only a new value ends an expiry.
+     */
+    private fun mergeExpiring(state: WatchState, update: PrefixUpdate, now: Timestamp): Map<String, Timestamp> {
+        val before = state.expiring - update.values.keys
+        val atPeer = update.expiring.mapValues { (key, timeLeft) -> minOf(now + timeLeft, before[key] ?: now + timeLeft) }
+        return before + atPeer
+    }
+
     private fun callSucceeded(state: WatchState, now: Timestamp): Step<WatchState, WatchEffect> {
         val failingSince = state.failingSince ?: return Step(state)
         val recoveredAt = if (now - failingSince >= minOutage) now else state.recoveredAt
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
@@ -119,6 +119,46 @@
         assertEquals(30, watcher.revision)
     }
 
+    /** Guards against requests to a target that left: its entry lost its expiry and stayed for good. */
+    @Test
+    fun `Given a value that expires by one peer, when another that removed it sends changes, then it still expires`() {
+        startWith("a" to 2L, "b" to 3L)
+        updatePeer()
+        val expiring = PrefixUpdate(watcher.revision, 11, emptyMap(), emptySet(), mapOf("b" to 2.seconds))
+        val later = PrefixUpdate(11, 12, mapOf("c" to "new"), emptySet(), emptyMap())
+        listOf(expiring, later).forEach { update ->
+            now += 500.milliseconds
+            peer = reducer.reduce(peer, WatchEvent.PeerUpdateReceived(update), now).state
+        }
+        assertEquals(setOf("a", "b", "c"), peer.values.keys)
+        now += 1500.milliseconds
+        assertEquals(setOf("a", "c"), reducer.reduce(peer, WatchEvent.Tick, now).state.values.keys)
+    }
+
+    @Test
+    fun `Given a value that expires, when a peer sends a later expiry, then the earlier one stays`() {
+        startWith("a" to 2L)
+        updatePeer()
+        listOf(11L to 1.seconds, 12L to 2.seconds).forEach { (revision, timeLeft) ->
+            val update = PrefixUpdate(peer.revision, revision, emptyMap(), emptySet(), mapOf("a" to timeLeft))
+            peer = reducer.reduce(peer, WatchEvent.PeerUpdateReceived(update), now).state
+        }
+        assertEquals(now + 1.seconds, reducer.nextTick(peer))
+    }
+
+    @Test
+    fun `Given a value that expires, when a peer sends a new value, then it stays`() {
+        startWith("a" to 2L)
+        updatePeer()
+        val expiring = PrefixUpdate(peer.revision, 11, emptyMap(), emptySet(), mapOf("a" to 1.seconds))
+        val rewritten = PrefixUpdate(11, 12, mapOf("a" to "new"), emptySet(), emptyMap())
+        listOf(expiring, rewritten).forEach {
+            peer = reducer.reduce(peer, WatchEvent.PeerUpdateReceived(it), now).state
+        }
+        assertNull(reducer.nextTick(peer))
+        assertEquals("new", peer.values["a"])
+    }
+
     private fun startWith(vararg values: Pair<String, Long>) {
         submit(WatchEvent.Started)
         complete(StoreResult.Values(values.map { (key, revision) -> written(key, revision) }, revision = 8))
--- /dev/null
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedStoreClient.kt
@@ -0,0 +1,63 @@
+package org.cicadaarch.forwarding.simulation
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.model.store.StoreCommand
+import org.cicadaarch.model.store.StoreResult
+import org.cicadaarch.store.Store
+
+/** A router's connection to [store], which can be rejected or cut. */
+internal class SimulatedStoreClient(private val store: SimulatedStore, private val time: VirtualTime) : Store {
+    private val open = LinkedHashSet<Call>()
+    private var link = Link.SERVED
+
+    /** The store answers all calls with an error from now on. */
+    fun reject() {
+        link = Link.REJECTED
+        open.toList().forEach { it.end(StoreResult.Refused("status 503")) }
+    }
+
+    /** Calls are lost from now on. Open calls fail at once [withReset], else they never get a response. */
+    fun cut(withReset: Boolean) {
+        link = Link.CUT
+        open.forEach { it.isLost = true }
+        if (withReset) open.toList().forEach { it.end(StoreResult.Unanswered("connection reset")) }
+    }
+
+    /** New calls reach the store again. */
+    fun restore() {
+        link = Link.SERVED
+    }
+
+    override fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) {
+        val call = Call(onResult)
+        open += call
+        val wait = (command as? StoreCommand.AwaitChange)?.timeout ?: Duration.ZERO
+        time.after(wait + REQUEST_TIMEOUT) { call.end(StoreResult.Unanswered("no response", isTimeout = true)) }
+        time.after(DELAY) { arrive(command, call) }
+    }
+
+    override fun close() = Unit
+
+    private fun arrive(command: StoreCommand, call: Call) = when {
+        call.isLost || link == Link.CUT -> call.isLost = true
+        link == Link.REJECTED -> call.end(StoreResult.Refused("status 503"))
+        else -> store.handle(command) { result -> time.after(DELAY) { if (!call.isLost) call.end(result) } }
+    }
+
+    private enum class Link { SERVED, REJECTED, CUT }
+
+    private inner class Call(private val onResult: (StoreResult) -> Unit) {
+        var isLost = false
+
+        fun end(result: StoreResult) {
+            if (open.remove(this)) onResult(result)
+        }
+    }
+
+    private companion object {
+        val DELAY = 2.milliseconds
+        val REQUEST_TIMEOUT = 1.seconds
+    }
+}
