Renew a watch when another router knows of a change first

Cause: a watch call that was lost on a connection that went silent is only given up after its timeout, 10 s and one more. Until then the router takes itself for a watching one, and so do those that poll it; and as the failure then counts as an outage, entries that were removed long ago are kept for the grace period once more. Change: an update of a peer that is newer than the copy of a router with a pending watch sends that watch anew; the old call's result is ignored. Why it works: the store tells all watches of a change within milliseconds, so a watch that a peer overtakes is not heard. PeerUpdateTest has the row.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -94,7 +94,7 @@
     /**
      * Applies [update] if it is newer than this router's copy and does not build on a revision later than that copy.
      * Values that the peer no longer has are removed even during an outage, as the peer learned of the removal from the
-     * store. A pending call goes on.
+     * store. A pending watch is renewed, as it should have reported the change first: its connection may have gone silent.
      */
     private fun peerUpdateReceived(
         state: WatchState,
@@ -118,7 +118,8 @@
             revision = update.revision,
             changeLog = changeLog,
         )
-        return Step(next, if (values == state.values) emptyList() else listOf(WatchEffect.ValuesChanged(values)))
+        val effects = if (values == state.values) emptyList() else listOf(WatchEffect.ValuesChanged(values))
+        return Step(next, effects).then { if (it.phase is Phase.Watching) awaitChange(it) else Step(it) }
     }
 
     /**
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
@@ -159,6 +159,18 @@
         assertEquals("new", peer.values["a"])
     }
 
+    /** Guards against requests to a target that left: a watch on a silent connection delayed the news by its timeout. */
+    @Test
+    fun `Given a pending watch, when a peer knows of a later change, then the watch is renewed`() {
+        startWith("a" to 2L)
+        val silent = watcher.callId
+        submit(WatchEvent.PeerUpdateReceived(PrefixUpdate(null, revision = 30, emptyMap(), emptySet(), emptyMap())))
+        val call = effects.filterIsInstance<WatchEffect.Call>().single()
+        assertEquals(30, assertIs<StoreCommand.AwaitChange>(call.command).afterRevision)
+        submit(WatchEvent.CallCompleted(silent, StoreResult.Unanswered("no response", isTimeout = true)))
+        assertEquals(0, watcher.failures)
+    }
+
     private fun startWith(vararg values: Pair<String, Long>) {
         submit(WatchEvent.Started)
         complete(StoreResult.Values(values.map { (key, revision) -> written(key, revision) }, revision = 8))
