Poll all watching routers at once after one of them has failed

Callers saw: in virtual time, requests to a target over 3 s after it said that it leaves, by routers that nothing had disturbed. Cause: a router that does not watch the store polls two watching routers at a time, in turn; a poll of a lost one takes 1.5 s. When several are lost at the same moment, the delay is a sum of such polls. Why it works: a change is delayed by one failed poll, whatever the number of lost watching routers, if one is left.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -11,6 +11,7 @@
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.model.Timestamp
 import org.cicadaarch.store.HttpOutcome
 
 /**
@@ -32,6 +33,7 @@
     private val server = PeerServer(scheduler, directory, prefixWatchers)
     private val random = Random(self.hashCode())
     private val startedAt = scheduler.now()
+    private var allPolledAt: Timestamp? = null
     private var pollCount = random.nextInt(PeerDirectory.WATCHER_COUNT)
 
     /** Binds the peer address. Throws an exception when it is in use. */
@@ -50,8 +52,9 @@
         when {
             !shouldWatch && others.isNotEmpty() -> {
                 pollCount += 1
-                poll(others[pollCount.mod(others.size)], PeerQuery.MAX_WAIT) { isWatchingStore ->
-                    scheduleNext(poller, if (isWatchingStore) Duration.ZERO else STORE_LOST_POLL_INTERVAL)
+                poll(others[pollCount.mod(others.size)], PeerQuery.MAX_WAIT) { result ->
+                    if (result == PollResult.FAILED) pollAllWatchers()
+                    scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else STORE_LOST_POLL_INTERVAL)
                 }
             }
 
@@ -64,6 +67,17 @@
         }
     }
 
+    /**
+     * Polls all watching routers at once after one of them has failed, as others may have failed with it. So a change is
+     * delayed by one failed poll, however many of them are lost.
+     */
+    private fun pollAllWatchers() {
+        val now = scheduler.now()
+        if (allPolledAt.let { it != null && now - it < RESPONSE_TIMEOUT }) return
+        allPolledAt = now
+        (directory.watchers(now) - self).forEach { poll(it, Duration.ZERO) {} }
+    }
+
     private fun scheduleNext(poller: Int, delay: Duration) {
         scheduler.schedule(delay) { pollNext(poller) }
     }
@@ -91,7 +105,7 @@
         return interval * random.nextDouble(MIN_JITTER, MAX_JITTER)
     }
 
-    private fun poll(peer: RouterAddress, wait: Duration, onDone: (isWatchingStore: Boolean) -> Unit) {
+    private fun poll(peer: RouterAddress, wait: Duration, onDone: (PollResult) -> Unit) {
         val query = QueryStringEncoder(PeerQuery.PATH)
         query.addParam(PeerQuery.FROM, self.toString())
         query.addParam(PeerQuery.WAIT, wait.inWholeMilliseconds.toString())
@@ -102,8 +116,8 @@
         }
     }
 
-    /** Applies the response of [peer]. Returns whether it responded and is watching the store. */
-    private fun handleOutcome(peer: RouterAddress, outcome: HttpOutcome): Boolean {
+    /** Applies the response of [peer]. */
+    private fun handleOutcome(peer: RouterAddress, outcome: HttpOutcome): PollResult {
         val now = scheduler.now()
         val response = (outcome as? HttpOutcome.Answered)?.takeIf { it.status == HttpResponseStatus.OK.code() }
             ?.let { decode(peer, it.body) }
@@ -113,12 +127,12 @@
                 "peer" to peer
                 "outcome" to outcome
             }
-            return false
+            return PollResult.FAILED
         }
         directory.recordContact(peer, now, response.isWatchingStore)
         response.routers.mapNotNull { PeerQuery.parseAddress(it) }.forEach { directory.addReported(it, now) }
         response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(peer, it.toUpdate()) }
-        return response.isWatchingStore
+        return if (response.isWatchingStore) PollResult.WATCHING else PollResult.NOT_WATCHING
     }
 
     private fun decode(peer: RouterAddress, body: String): PeerResponse? = try {
@@ -128,6 +142,8 @@
         null
     }
 
+    private enum class PollResult { WATCHING, NOT_WATCHING, FAILED }
+
     private companion object {
         /**
          * Long polls that a router keeps open while it does not watch the store. With two, one lost router delays no
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/TargetNewsTest.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/TargetNewsTest.kt
@@ -34,6 +34,12 @@
             Disturbance("the store rejects some routers") {
                 disturb(start = 5.seconds, duration = 9.seconds, share = 0.35) { it.reject() }
             },
+            Disturbance("some routers are cut off and their connections reset") {
+                disturb(start = 10.seconds, duration = 8.seconds, share = 0.3) { it.cut(withReset = true) }
+            },
+            Disturbance("some routers are cut off silently") {
+                disturb(start = 10.seconds, duration = 8.seconds, share = 0.3) { it.cut(withReset = false) }
+            },
         )
     }
 }
