Bound the memory and the time that a response without end takes up

Cause: bytes that are no answer may come without end. A stream's incomplete event was kept whatever its length and searched from its start with each part; a body was kept up to 16 MiB for each request, in buffers nested once for each part; responses to other requests, informational ones and empty lines were skipped without end until the request's deadline. Evidence: EndlessResponseTest on the code before: with 14 kinds of such bytes the heap of 1 GB was full (1,047,093 of 1,047,552 KB) and six cores collected garbage; the test did not end in two and a half minutes and was killed. Change: ResponseMemory limits what parts of responses take up to an eighth of the heap, each to a quarter of what is left; TargetConnection gives up after 256 KiB that belong to no awaited response; EventStreamSplitter copies what is incomplete into one growing buffer and searches only new bytes. Why it works: each kind of byte is counted from its arrival until it is passed on, so an attempt breaks at a limit that does not depend on the number of parts, and others keep three quarters of what is free. Result: EndlessResponseTest: each kind fails within a second (one-byte chunks, valid so far, at the request's timeout), also 40 at once while 20 other requests to the same target are served; the target sees its connections closed.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -27,6 +27,7 @@
     val configurationVersion: Long,
     val connectionPool: TargetConnectionPool,
     val format: HeaderFormat,
+    val responseMemory: ResponseMemory,
     private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
     private val onEnd: (ForwardingExchange) -> Unit,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -43,6 +43,7 @@
     private val metrics: ForwardingMetrics,
 ) {
     private var reducer = DispatchReducer(settings)
+    private val responseMemory = ResponseMemory.ofHeap()
     private val openExchanges = HashMap<ExchangeId, ForwardingExchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isProcessing = false
@@ -144,6 +145,7 @@
             configurationVersion = routes.version,
             connectionPool = connectionPool,
             format = format,
+            responseMemory = responseMemory,
             metrics = metrics,
             submit = ::submit,
             onEnd = ::ended,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -131,7 +131,8 @@
         private var head: HttpResponse? = null
         private var metadata: ResponseMetadata? = null
         private var splitter: EventStreamSplitter? = null
-        private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+        private var body: ByteBuf = Unpooled.buffer(0)
+        private var heldBytes = 0
         private var lastProgressAt: Timestamp = NanoTimeClock.now()
 
         fun onConnected(opened: TargetConnection) {
@@ -176,8 +177,17 @@
             val events = splitter
             when {
                 isFinished -> content.release()
-                events != null -> events.add(content).forEach { writeEvent(it) }
-                else -> bufferBody(content)
+
+                events != null -> {
+                    events.add(content).forEach { writeEvent(it) }
+                    if (!isFinished) holdBytes(events.bufferedBytes)
+                }
+
+                else -> {
+                    body.writeBytes(content)
+                    content.release()
+                    holdBytes(body.readableBytes())
+                }
             }
         }
 
@@ -217,6 +227,7 @@
             if (!isResponseStarted) startResponse()
             val result = AttemptResult.Answered(status.code(), isDelivered = true)
             isFinished = true
+            releaseBody()
             context.attemptEnded(number, target, result)
             context.ended(status.code(), reason = null)
             client.endResponse()
@@ -250,9 +261,10 @@
             context.format.removeInternalHeaders(it)
         }
 
-        private fun bufferBody(content: ByteBuf) {
-            body = if (body.isReadable) Unpooled.wrappedBuffer(body, content) else content
-            if (body.readableBytes() > MAX_RESPONSE_BYTES) abortAttempt("answer-too-large")
+        /** Records that [bytes] of the response wait to be passed on, and aborts the attempt if that is too much. */
+        private fun holdBytes(bytes: Int) {
+            val isWithinLimit = context.responseMemory.resize(before = heldBytes, after = bytes)
+            if (isWithinLimit) heldBytes = bytes else abortAttempt("answer-too-large")
         }
 
         private fun abortAttempt(reason: String) {
@@ -272,6 +284,8 @@
             splitter = null
             if (bufferedResponse?.body !== body) body.release()
             body = Unpooled.EMPTY_BUFFER
+            context.responseMemory.resize(before = heldBytes, after = 0)
+            heldBytes = 0
         }
 
         private fun targetRequest(): DefaultFullHttpRequest {
@@ -302,7 +316,6 @@
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000.0
-        const val MAX_RESPONSE_BYTES = 16 * 1024 * 1024
         val PROGRESS_INTERVAL = 100.milliseconds
 
         /**
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -21,8 +21,8 @@
 /**
  * A connection to a target that carries one attempt at a time.
  *
- * Responses to other requests than the current one are skipped. The connection is closed if it receives bytes while it
- * is idle, or if the response ends before the request was written in full.
+ * Responses to other requests than the current one are skipped, up to [MAX_SKIPPED_BYTES]. The connection is closed if
+ * it receives bytes while it is idle, or if the response ends before the request was written in full.
  */
 internal class TargetConnection(
     val key: TargetKey,
@@ -68,6 +68,23 @@
         context.channel().config().isAutoRead = isEnabled
     }
 
+    /**
+     * Counts [bytes] that have arrived. Returns false and closes the connection if it is idle, or if too many arrived
+     * without being part of the awaited response.
+     */
+    fun acceptBytes(bytes: Int): Boolean {
+        val running = attempt
+        if (running == null) {
+            context.close()
+            return false
+        }
+        if (running.phase == ResponsePhase.READING) return true
+        running.skippedBytes += bytes
+        if (running.skippedBytes <= MAX_SKIPPED_BYTES) return true
+        fail("answer-missing-in-bytes")
+        return false
+    }
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
@@ -143,9 +160,13 @@
     private class RunningAttempt(val requestId: String?, val listener: ResponseListener, val written: ChannelFuture) {
         var phase = ResponsePhase.WAITING
         var isReusable = false
+        var skippedBytes = 0
     }
 
     private companion object {
+        /** Several responses of the usual size to other requests, and what the socket passes on at once. */
+        const val MAX_SKIPPED_BYTES = 256 * 1024
+
         /** Assumed for a target that does not state its idle timeout. */
         val DEFAULT_IDLE_TIMEOUT = 4.seconds
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -97,7 +97,10 @@
 
     private class ConnectionInitializer(private val connection: TargetConnection) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpClientCodec()).addLast(connection)
+            channel.pipeline()
+                .addLast(ResponseByteCounter(connection))
+                .addLast(HttpClientCodec())
+                .addLast(connection)
         }
     }
 
