--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -128,7 +128,9 @@
      */
     private fun mergeExpiring(state: WatchState, update: PrefixUpdate, now: Timestamp): Map<String, Timestamp> {
         val before = state.expiring - update.values.keys
-        val atPeer = update.expiring.mapValues { (key, timeLeft) -> minOf(now + timeLeft, before[key] ?: now + timeLeft) }
+        val atPeer = update.expiring.mapValues { (key, timeLeft) ->
+            minOf(now + timeLeft, before[key] ?: now + timeLeft)
+        }
         return before + atPeer
     }
 
