Split TargetAdmission by concern

Change: SlotPolicy judges room and waiting time, RedirectPolicy decides redirects, AdmissionReplies builds the messages; TargetAdmission keeps permits, queue and timers. Functions are moved, not changed.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/TargetAdmission.kt
@@ -2,13 +2,9 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import org.cicadaarch.admission.AdmissionMessage.PermitGranted
-import org.cicadaarch.admission.AdmissionMessage.PermitQueued
 import org.cicadaarch.admission.AdmissionMessage.PermitRedirected
-import org.cicadaarch.admission.AdmissionMessage.PermitRefused
 import org.cicadaarch.admission.AdmissionMessage.PermitReleased
 import org.cicadaarch.admission.AdmissionMessage.PermitRequest
-import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.AttemptId
 import org.cicadaarch.model.RouterId
 import org.cicadaarch.model.Step
@@ -19,6 +15,9 @@
  * The admission decisions for a single target.
  */
 internal class TargetAdmission(private val settings: AdmissionSettings) {
+    private val slots = SlotPolicy(settings)
+    private val redirects = RedirectPolicy(settings)
+
     /** Grants, queues, redirects or refuses [request] from the ingress on router [from]. */
     fun requestPermit(
         state: TargetAdmissionState,
@@ -29,22 +28,25 @@
     ): Step<TargetAdmissionState, AdmissionEffect> {
         val attempt = request.attempt
         val demand = request.demand
-        val lastTarget = lastTargetOf(state, context, demand)
+        val lastTarget = redirects.lastTargetOf(state, context, demand)
         return when {
-            attempt in state.permits -> Step(renew(state, from, attempt, now), listOf(granted(from, attempt, context)))
+            attempt in state.permits -> Step(
+                renew(state, from, attempt, now),
+                listOf(AdmissionReplies.granted(from, attempt, context, settings.permitLease)),
+            )
 
-            attempt in state.queue.entries -> Step(state, listOf(queued(from, attempt, state, context, now)))
+            attempt in state.queue.entries -> Step(state, listOf(queuedReply(from, attempt, state, context, now)))
 
             attempt in state.recentlyEnded || context.target.leaving ->
-                Step(state, listOf(targetGone(from, attempt, context)))
+                Step(state, listOf(AdmissionReplies.targetGone(from, attempt, context)))
 
             lastTarget != null && demand.redirects == 0 -> {
-                val hasFreeSlots = hasFreeSlot(state, context, now)
+                val hasFreeSlots = slots.hasFreeSlot(state, context, now)
                 val redirect = PermitRedirected(attempt, context.id, lastTarget, hasFreeSlots, hintRanChat = true)
-                Step(state, listOf(send(from, redirect)))
+                Step(state, listOf(AdmissionReplies.redirected(from, redirect)))
             }
 
-            state.queue.isEmpty && canGrant(state, context, demand, now) ->
+            state.queue.isEmpty && slots.canGrant(state, context, demand, now) ->
                 grant(state, context, from, attempt, demand, now)
 
             else -> deferOrRefuse(state, context, queuedRequest(attempt, from, demand, now), now)
@@ -149,11 +151,11 @@
     ): Step<TargetAdmissionState, AdmissionEffect> {
         var current = state
         val effects = mutableListOf<AdmissionEffect>()
-        while (!current.queue.isEmpty && hasFreeSlot(current, context, now)) {
+        while (!current.queue.isEmpty && slots.hasFreeSlot(current, context, now)) {
             val next = checkNotNull(current.queue.first())
             current = current.copy(queue = current.queue.minus(next.attempt))
-            if (isOverdue(current, next, now)) {
-                effects += refused(next, context, PermitRefusal.LATE)
+            if (slots.isOverdue(current, next, now)) {
+                effects += AdmissionReplies.refused(next, context, PermitRefusal.LATE)
             } else {
                 val step = grant(current, context, next.ingress, next.attempt, next.demand, now)
                 current = step.state
@@ -180,22 +182,22 @@
         state: TargetAdmissionState,
         context: TargetContext,
         reason: PermitRefusal,
-    ): Step<TargetAdmissionState, AdmissionEffect> =
-        Step(state.copy(queue = FairQueue()), state.queue.entries.values.map { refused(it, context, reason) })
+    ): Step<TargetAdmissionState, AdmissionEffect> = Step(
+        state.copy(queue = FairQueue()),
+        state.queue.entries.values.map {
+            AdmissionReplies.refused(it, context, reason)
+        },
+    )
 
     private fun queuedRequest(attempt: AttemptId, from: RouterId, demand: PermitDemand, now: Timestamp) = QueuedRequest(
         attempt = attempt,
         ingress = from,
-        account = queueAccount(demand),
+        account = slots.queueAccount(demand),
         demand = demand,
         queuedAt = now,
         deadline = now + demand.timeAllowed,
     )
 
-    /** The account under which a request is queued. Without fair queueing, all requests share one account. */
-    private fun queueAccount(demand: PermitDemand): AccountId =
-        if (settings.usesFairQueueing) demand.account else SHARED_ACCOUNT
-
     /** Handles a request that cannot be granted at once: redirects, refuses or queues it. */
     private fun deferOrRefuse(
         state: TargetAdmissionState,
@@ -205,17 +207,21 @@
     ): Step<TargetAdmissionState, AdmissionEffect> {
         val deferred = state.copy(hasDeferredRequest = true)
         val demand = request.demand
-        val wait = expectedWait(deferred, context, demand, now)
+        val wait = slots.expectedWait(deferred, context, demand, now)
         val isSaturated = LoadBound.isSaturated(state, context, now)
-        val cacheWait = cacheWaitOf(demand)
+        val cacheWait = redirects.cacheWaitOf(demand)
         val waitsForCache = wait <= cacheWait
-        val redirectsExhausted = demand.redirects >= minOf(settings.maximumRedirects, context.groupSize.targets - 1)
         return when {
-            !isSaturated && !redirectsExhausted && !waitsForCache ->
-                Step(deferred, listOf(send(request.ingress, redirectOf(deferred, context, request))))
+            !isSaturated && !redirects.isExhausted(context, demand) && !waitsForCache ->
+                Step(
+                    deferred,
+                    listOf(
+                        AdmissionReplies.redirected(request.ingress, redirects.redirectOf(deferred, context, request)),
+                    ),
+                )
 
             isSaturated && wait * EARLY_REFUSAL_FACTOR + state.meanTimeToFirstToken > demand.timeAllowed ->
-                Step(deferred, listOf(refused(request, context, PermitRefusal.LATE)))
+                Step(deferred, listOf(AdmissionReplies.refused(request, context, PermitRefusal.LATE)))
 
             state.queue.size >= settings.maximumQueuedPerSlot * context.target.capacity ->
                 enqueueWhenFull(deferred, context, request.copy(redirectableAt = now + cacheWait), now)
@@ -224,14 +230,6 @@
         }
     }
 
-    /** How long to wait for a target that has the chat's prompt prefix cached: the time to compute it elsewhere. */
-    private fun cacheWaitOf(demand: PermitDemand): Duration =
-        if (demand.isReturning && (demand.isHome || demand.ranChat)) {
-            settings.prefillTimePerToken * demand.promptTokens
-        } else {
-            Duration.ZERO
-        }
-
     private fun redirectNext(
         step: Step<TargetAdmissionState, AdmissionEffect>,
         context: TargetContext,
@@ -239,28 +237,12 @@
         now: Timestamp,
     ): Step<TargetAdmissionState, AdmissionEffect> {
         val next = step.state.queue.first()
-            ?.takeIf { it.redirectableAt <= now && mayRedirect(it, context) }
+            ?.takeIf { it.redirectableAt <= now && redirects.mayRedirect(it, context) }
             ?: return step
-        val redirect = send(next.ingress, PermitRedirected(next.attempt, context.id, hint))
+        val redirect = AdmissionReplies.redirected(next.ingress, PermitRedirected(next.attempt, context.id, hint))
         return Step(step.state.copy(queue = step.state.queue.minus(next.attempt)), step.effects + redirect)
     }
 
-    /**
-     * Suggests the target that ran the chat last. Otherwise, an attempt that was redirected before gets one of the
-     * targets with free slots, chosen by the attempt's hash, and the first redirect has no hint.
-     */
-    private fun redirectOf(
-        state: TargetAdmissionState,
-        context: TargetContext,
-        request: QueuedRequest,
-    ): PermitRedirected {
-        val lastTarget = lastTargetOf(state, context, request.demand)
-        val candidates = context.groupLoad?.targetsWithFreeSlots.orEmpty().filter { it != context.id }
-        val suggested = candidates.getOrNull(Math.floorMod(request.attempt.hashCode(), maxOf(1, candidates.size)))
-        val hint = lastTarget ?: suggested.takeIf { request.demand.redirects > 0 }
-        return PermitRedirected(request.attempt, context.id, hint, hintRanChat = lastTarget != null)
-    }
-
     private fun enqueueWhenFull(
         state: TargetAdmissionState,
         context: TargetContext,
@@ -268,10 +250,10 @@
         now: Timestamp,
     ): Step<TargetAdmissionState, AdmissionEffect> {
         val evicted = state.queue.evictionCandidate(request.account, context::weightOf)
-            ?: return Step(state, listOf(refused(request, context, PermitRefusal.QUEUE_FULL)))
+            ?: return Step(state, listOf(AdmissionReplies.refused(request, context, PermitRefusal.QUEUE_FULL)))
         val withoutEvicted = state.copy(queue = state.queue.minus(evicted.attempt))
         val (next, effects) = enqueue(withoutEvicted, context, request, now)
-        return Step(next, listOf(refused(evicted, context, PermitRefusal.QUEUE_FULL)) + effects)
+        return Step(next, listOf(AdmissionReplies.refused(evicted, context, PermitRefusal.QUEUE_FULL)) + effects)
     }
 
     private fun enqueue(
@@ -285,7 +267,7 @@
             timers = state.timers.schedule(request.attempt, minOf(request.redirectableAt, request.deadline)),
         )
         val (served, effects) = serveQueue(enqueued, context, now)
-        return Step(served, listOf(queued(request.ingress, request.attempt, enqueued, context, now)) + effects)
+        return Step(served, listOf(queuedReply(request.ingress, request.attempt, enqueued, context, now)) + effects)
     }
 
     private fun grant(
@@ -300,12 +282,12 @@
         val permits = state.permits.put(attempt, Permit(holder, demand, expiresAt, grantedAt = now))
         val updated = state.copy(
             permits = permits,
-            queue = state.queue.charge(queueAccount(demand), workOf(demand), context.weightOf(demand.account)),
+            queue = state.queue.charge(slots.queueAccount(demand), workOf(demand), context.weightOf(demand.account)),
             timers = state.timers.schedule(attempt, expiresAt),
             recentPeak = state.recentPeak.record(permits.size, now),
             chatLocations = if (demand.isHome) withoutChat(state.chatLocations, demand) else state.chatLocations,
         )
-        return Step(updated, listOf(granted(holder, attempt, context)))
+        return Step(updated, listOf(AdmissionReplies.granted(holder, attempt, context, settings.permitLease)))
     }
 
     /** Applies whatever is due for [attempt], or schedules its next check. */
@@ -324,12 +306,13 @@
 
             waiting != null && waiting.deadline <= now -> Step(
                 state.copy(queue = state.queue.minus(attempt)),
-                listOf(refused(waiting, context, PermitRefusal.LATE)),
+                listOf(AdmissionReplies.refused(waiting, context, PermitRefusal.LATE)),
             )
 
-            waiting != null && mayRedirect(waiting, context) && mustRedirect(waiting, state, context, now) -> Step(
+            waiting != null && redirects.mayRedirect(waiting, context) &&
+                redirects.mustRedirect(waiting, state, context, now) -> Step(
                 state.copy(queue = state.queue.minus(attempt)),
-                listOf(send(waiting.ingress, redirectOf(state, context, waiting))),
+                listOf(AdmissionReplies.redirected(waiting.ingress, redirects.redirectOf(state, context, waiting))),
             )
 
             waiting != null -> Step(state.copy(timers = state.timers.schedule(attempt, nextCheckAt(waiting, now))))
@@ -344,20 +327,6 @@
         }
     }
 
-    private fun mustRedirect(
-        waiting: QueuedRequest,
-        state: TargetAdmissionState,
-        context: TargetContext,
-        now: Timestamp,
-    ): Boolean = waiting.redirectableAt <= now && !LoadBound.isSaturated(state, context, now)
-
-    /**
-     * Whether [waiting] may still be redirected from the queue. It is never redirected more often than there are other
-     * targets.
-     */
-    private fun mayRedirect(waiting: QueuedRequest, context: TargetContext): Boolean =
-        waiting.demand.redirects < minOf(2 * settings.maximumRedirects, context.groupSize.targets - 1)
-
     private fun nextCheckAt(waiting: QueuedRequest, now: Timestamp): Timestamp =
         if (waiting.redirectableAt > now) minOf(waiting.redirectableAt, waiting.deadline) else waiting.deadline
 
@@ -371,50 +340,9 @@
         return state.copy(permits = state.permits.put(attempt, permit))
     }
 
-    private fun hasFreeSlot(state: TargetAdmissionState, context: TargetContext, now: Timestamp): Boolean {
-        val limit = if (settings.enforcesLoadBound) LoadBound.limit(state, context, now) else context.target.capacity
-        return !context.target.leaving && state.load < limit
-    }
-
-    /**
-     * Whether the target has a free slot for this demand. Slots above [LoadBound.newChatLimit] are reserved for
-     * returning chats and redirected attempts.
-     */
-    private fun canGrant(
-        state: TargetAdmissionState,
-        context: TargetContext,
-        demand: PermitDemand,
-        now: Timestamp,
-    ): Boolean {
-        val mayUseLastSlots = demand.isReturning || demand.redirects > 0
-        return hasFreeSlot(state, context, now) &&
-            (mayUseLastSlots || state.load < LoadBound.newChatLimit(state, context, settings, now))
-    }
-
-    /** The other target that ran this chat last, or null if there is none or the chat is not to be redirected. */
-    private fun lastTargetOf(state: TargetAdmissionState, context: TargetContext, demand: PermitDemand) =
-        if (settings.redirectsToLastTarget && demand.isHome && demand.isReturning) {
-            demand.chat?.let { state.chatLocations.find(ChatKey(demand.account, it)) }?.takeIf { it != context.id }
-        } else {
-            null
-        }
-
     private fun withoutChat(locations: ChatLocations, demand: PermitDemand): ChatLocations =
         demand.chat?.let { locations.remove(ChatKey(demand.account, it)) } ?: locations
 
-    private fun expectedWait(
-        state: TargetAdmissionState,
-        context: TargetContext,
-        demand: PermitDemand,
-        now: Timestamp,
-    ): Duration {
-        val slots = maxOf(1, LoadBound.limit(state, context, now))
-        return state.meanHoldTime * (state.queue.requestsAhead(queueAccount(demand), context::weightOf) + 1) / slots
-    }
-
-    private fun isOverdue(state: TargetAdmissionState, request: QueuedRequest, now: Timestamp): Boolean =
-        request.deadline <= now + state.meanTimeToFirstToken * FIRST_TOKEN_MARGIN
-
     /** Whether a delayed copy of the request of the ended [attempt] is no longer expected. */
     private fun TargetAdmissionState.isEndOutdated(attempt: AttemptId, now: Timestamp): Boolean =
         recentlyEnded[attempt]?.let { it <= now } ?: false
@@ -426,31 +354,16 @@
             this
         }
 
-    private fun granted(to: RouterId, attempt: AttemptId, context: TargetContext) =
-        send(to, PermitGranted(attempt, context.id, settings.permitLease))
-
-    private fun queued(
+    private fun queuedReply(
         to: RouterId,
         attempt: AttemptId,
         state: TargetAdmissionState,
         context: TargetContext,
         now: Timestamp,
-    ) = send(
-        to,
-        PermitQueued(
-            attempt,
-            context.id,
-            expectedWait(state, context, state.queue.entries.getValue(attempt).demand, now),
-        ),
-    )
-
-    private fun targetGone(to: RouterId, attempt: AttemptId, context: TargetContext) =
-        send(to, PermitRefused(attempt, context.id, PermitRefusal.TARGET_GONE))
-
-    private fun refused(request: QueuedRequest, context: TargetContext, reason: PermitRefusal) =
-        send(request.ingress, PermitRefused(request.attempt, context.id, reason))
-
-    private fun send(to: RouterId, message: AdmissionMessage) = AdmissionEffect.Send(to, message)
+    ): AdmissionEffect {
+        val demand = state.queue.entries.getValue(attempt).demand
+        return AdmissionReplies.queued(to, attempt, context, slots.expectedWait(state, context, demand, now))
+    }
 
     private fun workOf(demand: PermitDemand): Double =
         1.0 + demand.outputTokens + demand.promptTokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN
@@ -460,8 +373,6 @@
     private companion object {
         /** Applied to the expected wait, so that only requests that clearly miss their deadline are refused early. */
         const val EARLY_REFUSAL_FACTOR = 0.8
-        val SHARED_ACCOUNT = AccountId("")
-        const val FIRST_TOKEN_MARGIN = 2
         const val SMOOTHING_DIVISOR = 16
         const val PROMPT_TOKENS_PER_OUTPUT_TOKEN = 100.0
         val ESTIMATE_LIFETIME = 2.seconds
