Split the handling of the roles' effects from RouterTransition

Change: RoleEffectHandler passes the roles' effects on; RouterTransition keeps events, quota check and state. Functions are moved, not changed.

--- a/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
+++ b/cicadaarch-core/src/main/kotlin/org/cicadaarch/core/RouterTransition.kt
@@ -1,18 +1,10 @@
 package org.cicadaarch.core
 
-import org.cicadaarch.admission.AdmissionEffect
 import org.cicadaarch.admission.AdmissionEvent
-import org.cicadaarch.admission.AdmissionMessage
-import org.cicadaarch.configuration.dissemination.ConfigurationEffect
 import org.cicadaarch.configuration.dissemination.ConfigurationEvent
-import org.cicadaarch.ledger.ClaimantEffect
 import org.cicadaarch.ledger.ClaimantEvent
-import org.cicadaarch.ledger.LedgerEffect
 import org.cicadaarch.ledger.LedgerEvent
-import org.cicadaarch.ledger.PriorRequestStatus
-import org.cicadaarch.membership.MembershipEffect
 import org.cicadaarch.membership.MembershipEvent
-import org.cicadaarch.model.Idempotency
 import org.cicadaarch.model.Outcome
 import org.cicadaarch.model.RequestHead
 import org.cicadaarch.model.RequestId
@@ -23,12 +15,10 @@
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.fleet.FleetDocument
 import org.cicadaarch.model.store.StoreResult
-import org.cicadaarch.orders.OrdersEffect
 import org.cicadaarch.orders.OrdersEvent
 import org.cicadaarch.quota.QuotaDecision
 import org.cicadaarch.quota.QuotaEffect
 import org.cicadaarch.quota.QuotaEvent
-import org.cicadaarch.request.ClaimResult
 import org.cicadaarch.request.IngressEffect
 import org.cicadaarch.request.IngressEvent
 import org.cicadaarch.request.RefusalReason
@@ -43,6 +33,7 @@
     private val now: Timestamp,
 ) {
     private val effects = mutableListOf<RouterEffect>()
+    private val effectHandler = RoleEffectHandler(transition = this)
 
     fun step(): Step<RouterState, RouterEffect> = Step(state, effects)
 
@@ -156,7 +147,7 @@
     fun reduceIngress(event: IngressEvent) {
         val step = roles.ingress.reduce(state.ingress, event, now)
         state = state.copy(ingress = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceQuota(event: QuotaEvent) {
@@ -172,165 +163,58 @@
     fun reduceAdmission(event: AdmissionEvent) {
         val step = roles.admission.reduce(state.admission, event, now)
         state = state.copy(admission = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceMembership(event: MembershipEvent) {
         val step = roles.membership.reduce(state.membership, event, now)
         state = state.copy(membership = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceLedger(event: LedgerEvent) {
         val step = roles.ledger.reduce(state.ledger, event, now)
         state = state.copy(ledger = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceClaimant(event: ClaimantEvent) {
         val step = roles.claimant.reduce(state.claimant, event, now)
         state = state.copy(claimant = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceConfiguration(event: ConfigurationEvent) {
         val step = roles.configuration.reduce(state.configuration, event, now)
         state = state.copy(configuration = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
     fun reduceOrders(event: OrdersEvent) {
         val step = roles.orders.reduce(state.orders, event, now)
         state = state.copy(orders = step.state)
-        step.effects.forEach(::handle)
+        step.effects.forEach { effectHandler.handle(it) }
     }
 
-    private fun handle(effect: IngressEffect) {
-        when (effect) {
-            is IngressEffect.SendToOwner -> send(effect.to, PeerMessage.ToAdmissionOwner(effect.message))
-
-            is IngressEffect.Claim -> claimKey(effect.head)
-
-            is IngressEffect.FinishClaim -> reduceClaimant(ClaimantEvent.RequestEnded(effect.head.id, effect.outcome))
-
-            is IngressEffect.ReportCrash -> broadcast(PeerMessage.CrashReported(effect.fingerprint, effect.attempt))
-
-            is IngressEffect.EndRequest -> endRequest(effect)
-
-            is IngressEffect.StartAttempt,
-            is IngressEffect.CancelAttempt,
-            is IngressEffect.ProbeTarget,
-            -> effects += RouterEffect.Ingress(effect)
-        }
-    }
-
-    private fun handle(effect: AdmissionEffect) {
-        when (effect) {
-            is AdmissionEffect.Send -> when (val message = effect.message) {
-                is AdmissionMessage.PermitGranted,
-                is AdmissionMessage.PermitQueued,
-                is AdmissionMessage.PermitRedirected,
-                is AdmissionMessage.PermitRefused,
-                -> send(effect.to, PeerMessage.ToIngress(message))
-
-                else -> send(effect.to, PeerMessage.ToAdmissionOwner(message))
-            }
-        }
-    }
-
-    private fun handle(effect: MembershipEffect) {
-        when (effect) {
-            is MembershipEffect.Send -> effects += RouterEffect.SendDatagram(effect.to, effect.message)
-
-            is MembershipEffect.FetchList -> effects += RouterEffect.FetchVirtualMachines
-
-            is MembershipEffect.ViewChanged -> onRoutersChanged(effect.view)
-
-            is MembershipEffect.RevisionReported -> reduceConfiguration(
-                ConfigurationEvent.DigestReceived(effect.router, effect.revision),
-            )
-
-            is MembershipEffect.MemberJoined,
-            is MembershipEffect.MemberSuspected,
-            is MembershipEffect.SuspicionRefuted,
-            is MembershipEffect.MemberRemoved,
-            is MembershipEffect.PauseNoticed,
-            -> effects += RouterEffect.Log(RouterNotice.OfMembership(effect))
-        }
-    }
-
-    private fun handle(effect: LedgerEffect) {
-        when (effect) {
-            is LedgerEffect.Send -> send(effect.to, PeerMessage.ToClaimant(effect.message))
-            is LedgerEffect.Store -> effects += RouterEffect.Store(StoreToken.Ledger(effect.token), effect.command)
-            is LedgerEffect.Log -> effects += RouterEffect.Log(RouterNotice.OfLedger(effect.notice))
-        }
+    /** Adds [effect] to the effects of this step. */
+    fun emit(effect: RouterEffect) {
+        effects += effect
     }
 
-    private fun handle(effect: ClaimantEffect) {
-        when (effect) {
-            is ClaimantEffect.Send -> send(effect.to, PeerMessage.ToShardOwner(effect.message))
-
-            is ClaimantEffect.Granted -> onClaimResult(effect.request, ClaimResult.Granted)
-
-            is ClaimantEffect.Refused -> onClaimResult(effect.request, ClaimResult.Unavailable)
-
-            is ClaimantEffect.KeyAlreadyUsed ->
-                onClaimResult(effect.request, ClaimResult.Taken(outcomeOf(effect.status)))
-        }
-    }
-
-    private fun handle(effect: ConfigurationEffect) {
-        when (effect) {
-            is ConfigurationEffect.Send -> send(effect.to, PeerMessage.ToConfiguration(effect.message))
-
-            is ConfigurationEffect.CallStore ->
-                effects += RouterEffect.Store(StoreToken.Configuration(effect.token), effect.command)
-
-            is ConfigurationEffect.Parse -> effects += RouterEffect.ParseDocument(effect.revision, effect.text)
-
-            is ConfigurationEffect.Install -> onFleetChanged(effect.revision, effect.document)
-
-            is ConfigurationEffect.Rejected, is ConfigurationEffect.Missing ->
-                effects += RouterEffect.Log(RouterNotice.OfConfiguration(effect))
-        }
+    /** Sends [message] to the router [to]; this router handles a message to itself at once. */
+    fun send(to: RouterId, message: PeerMessage) {
+        if (to == state.view.self) onPeerMessage(to, message) else emit(RouterEffect.SendToPeer(to, message))
     }
 
-    private fun handle(effect: OrdersEffect) {
-        when (effect) {
-            is OrdersEffect.Store -> effects += RouterEffect.Store(StoreToken.Orders(effect.token), effect.command)
-            is OrdersEffect.Log -> effects += RouterEffect.Log(RouterNotice.OfOrders(effect.notice))
-            is OrdersEffect.ReadEngineState, is OrdersEffect.SendOrder -> effects += RouterEffect.Orders(effect)
-        }
-    }
-
-    private fun send(to: RouterId, message: PeerMessage) {
-        if (to == state.view.self) onPeerMessage(to, message) else effects += RouterEffect.SendToPeer(to, message)
+    /** Sends [message] to all other routers. */
+    fun broadcast(message: PeerMessage) {
+        (state.view.routers.keys - state.view.self).forEach { emit(RouterEffect.SendToPeer(it, message)) }
     }
 
-    private fun broadcast(message: PeerMessage) {
-        (state.view.routers.keys - state.view.self).forEach { effects += RouterEffect.SendToPeer(it, message) }
-    }
-
-    private fun endRequest(effect: IngressEffect.EndRequest) {
-        state.accountByRequest[effect.request]?.let { account ->
-            state = state.copy(accountByRequest = state.accountByRequest.remove(effect.request))
-            reduceQuota(QuotaEvent.RequestEnded(account))
-        }
-        effects += RouterEffect.Ingress(effect)
-    }
-
-    private fun claimKey(head: RequestHead) {
-        val keyed = head.idempotency as? Idempotency.Keyed ?: return
-        reduceClaimant(ClaimantEvent.ClaimRequested(head.id, head.account, keyed.key, head.timeAllowed))
-    }
-
-    private fun onClaimResult(request: RequestId, result: ClaimResult) =
-        reduceIngress(IngressEvent.ClaimAnswered(request, result))
-
-    private fun outcomeOf(status: PriorRequestStatus): Outcome? = when (status) {
-        PriorRequestStatus.RUNNING -> null
-        PriorRequestStatus.COMPLETED -> Outcome.COMPLETED
-        PriorRequestStatus.MAY_HAVE_RUN -> Outcome.MAY_HAVE_RUN
+    /** Returns the use of the account's quota by [request], which has ended. */
+    fun returnQuota(request: RequestId) {
+        val account = state.accountByRequest[request] ?: return
+        state = state.copy(accountByRequest = state.accountByRequest.remove(request))
+        reduceQuota(QuotaEvent.RequestEnded(account))
     }
 }
