Reword cicadactl

Change: comments, KDoc, internal names and a few error texts of the whole folder, sources and tests; no exit code, option, JSON field, class name that is printed (errors) or behaviour.

--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/Change.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Change.kt
@@ -3,6 +3,6 @@
 import org.cicadaarch.configuration.DocumentDifference
 
 /**
- * An accepted document at [revision]; without [differences] it was there before.
+ * The result of an edit: the document is at [revision]. [differences] is empty if the store had it already.
  */
 internal data class Change(val revision: Long, val differences: List<DocumentDifference>)
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/CommandLine.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/CommandLine.kt
@@ -17,9 +17,9 @@
 import org.cicadaarch.control.command.ValidateCommand
 
 /**
- * Runs one command of cicadactl with the defaults of [environment].
+ * Runs one command of cicadactl. Options that are not given are taken from [environment].
  *
- * Reports go to [output]; errors in text form go to [errorOutput]. [readLine] gives the line of standard input.
+ * Reports are printed to [output], errors in text form to [errorOutput]. [readLine] reads a line of standard input.
  */
 class CommandLine(
     private val environment: Map<String, String>,
@@ -27,7 +27,7 @@
     private val errorOutput: PrintStream,
     private val readLine: () -> String?,
 ) {
-    /** The exit code of the command in [arguments]. A command line that cannot be parsed ends the process. */
+    /** Runs the command in [arguments] and returns its exit code. Ends the process if they cannot be parsed. */
     fun run(arguments: List<String>): ExitCode {
         val commands = listOf(
             ValidateCommand(environment),
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/ConflictReader.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/ConflictReader.kt
@@ -6,10 +6,10 @@
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * Finds out who changed what in the way of an edit, as far as the history in [store] reaches.
+ * Finds the changes that an edit conflicts with, as far back as the history in [store] reaches.
  */
 internal class ConflictReader(private val store: FleetStore) {
-    /** The conflict of [document], which is based on the [expected] revision, with the [current] one. */
+    /** Returns the conflict between [document], an edit of the revision [expected], and the [current] document. */
     fun conflict(document: FleetDocument, expected: Long, current: StoredDocument?): ControlError.Conflict {
         val history = if (current == null) emptyList() else store.historyFrom(expected, current)
         val base = history.firstOrNull()?.takeIf { it.revision == expected }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/Connections.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Connections.kt
@@ -11,12 +11,12 @@
 import org.cicadaarch.store.EtcdStore
 
 /**
- * The connections of one command; closed when it ends.
+ * The network connections of one command.
  */
 internal class Connections : AutoCloseable {
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
-    /** The fleet document's store at [address], `host:port`. */
+    /** Returns the store of the fleet document at [address], as host:port, or an error if [address] is not valid. */
     fun store(address: String?): Either<ControlError, FleetStore> {
         val endpoint = address?.let(::endpointOf)
             ?: return ControlError.Usage("no store is named: give --store host:port or CICADAARCH_STORE").left()
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/ControlError.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/ControlError.kt
@@ -4,20 +4,20 @@
 import org.cicadaarch.configuration.DocumentError
 
 /**
- * Why a command did not do what it was asked.
+ * Why a command failed.
  */
 sealed class ControlError {
-    /** The command line does not say enough, or too much, for [reason]. */
+    /** The command line is incomplete or contradictory, for [reason]. */
     data class Usage(val reason: String) : ControlError()
 
-    /** The document of [source] has [errors]. */
+    /** The document from [source] has [errors]. */
     data class InvalidDocument(val source: String, val errors: List<DocumentError>) : ControlError()
 
     /**
-     * The store's document is not at the [expected] revision but at that of [current], null when there is none.
+     * The store's document is not at the [expected] revision but is [current], null if there is none.
      *
-     * [others] are the changes made since and [own] what the operator's document changes in its base; while the base
-     * is not known, [own] leads from the store's document to the operator's.
+     * [others] are the changes of other operators since then. [own] are the differences between the operator's document
+     * and its base, or the store's document if the base is not known.
      */
     data class Conflict(
         val expected: Long,
@@ -27,12 +27,12 @@
         val isBaseKnown: Boolean = false,
     ) : ControlError()
 
-    /** [peer] did not answer, for [reason]. */
+    /** [peer] did not respond, for [reason]. */
     data class Unreachable(val peer: String, val reason: String) : ControlError()
 
-    /** A write to the store was not answered and could not be settled: it may have taken effect. */
+    /** The response to a write is lost, for [reason], and the write may have taken effect. */
     data class Unsettled(val reason: String) : ControlError()
 
-    /** Anything else, for [reason]. */
+    /** The command failed for another [reason]. */
     data class Failed(val reason: String) : ControlError()
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/ControlJson.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/ControlJson.kt
@@ -8,7 +8,7 @@
 import kotlinx.serialization.json.put
 import org.cicadaarch.configuration.DocumentDifference
 
-/** Routers of a later version may answer with more fields. */
+/** Ignores unknown fields, which routers of a later version may send. */
 internal val controlJson = Json {
     ignoreUnknownKeys = true
     encodeDefaults = true
@@ -24,7 +24,7 @@
     },
 )
 
-/** The fields of [fields] as key=value pairs on one line. */
+/** Formats [fields] as key=value pairs on one line. */
 internal fun pairsOf(fields: JsonObject): String = fields.entries.joinToString(" ") { (key, value) ->
     "$key=${if (value is JsonPrimitive) value.content else value.toString()}"
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/DocumentEditor.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/DocumentEditor.kt
@@ -11,41 +11,41 @@
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * Changes the document in [store] in the name of [author].
+ * Edits the document in [store]. Changes are recorded as made by [author].
  */
 internal class DocumentEditor(private val store: FleetStore, private val author: String) {
     private val conflictReader = ConflictReader(store)
 
-    /** Replaces the document of the [expected] revision by [document]. */
+    /** Replaces the document by [document] if it is still at the revision [expected], 0 if there is none. */
     fun replace(document: FleetDocument, expected: Long): Either<ControlError, Change> = either {
         val current = store.read().bind()
         if ((current?.revision ?: 0) != expected) raise(conflictReader.conflict(document, expected, current))
         val differences = differences(current, document).bind()
         if (current != null && differences.isEmpty()) return@either Change(current.revision, differences)
         val revision = store.write(StoredDocument.textOf(document, author), expected)
-            .mapLeft { explained(it, document) }
+            .mapLeft { withConflictDetails(it, document) }
             .bind()
         Change(revision, differences)
     }
 
-    /** Applies [edit] to whatever document is in the store; after a conflict, to the one that won. */
+    /** Applies [edit] to the store's document. After a conflict, reads the document again and repeats the edit. */
     fun edit(edit: (FleetDocument) -> Either<ControlError, FleetDocument>): Either<ControlError, Change> {
         var conflict: ControlError.Conflict? = null
-        repeat(MOST_CONFLICTS) {
+        repeat(MAX_CONFLICTS) {
             val result = editOnce(edit)
             conflict = result.leftOrNull() as? ControlError.Conflict ?: return result
         }
         return checkNotNull(conflict).left()
     }
 
-    /** The store's document, null when it has none. */
+    /** Returns the store's document, or null if there is none. */
     fun current(): Either<ControlError, StoredDocument?> = store.read()
 
-    /** The store's document, an error when it has none. */
+    /** Returns the store's document, or an error if there is none. */
     fun stored(): Either<ControlError, StoredDocument> =
         store.read().flatMap { it?.right() ?: ControlError.Failed("the store has no document").left() }
 
-    /** The differences from [current] to [document], none when there is no current one. */
+    /** Returns the differences from [current] to [document]; none if [current] is null. */
     fun differences(
         current: StoredDocument?,
         document: FleetDocument,
@@ -68,12 +68,12 @@
         FleetDocumentParser.parse(stored.text)
             .mapLeft { ControlError.InvalidDocument("store at revision ${stored.revision}", it) }
 
-    private fun explained(error: ControlError, document: FleetDocument): ControlError = when (error) {
+    private fun withConflictDetails(error: ControlError, document: FleetDocument): ControlError = when (error) {
         is ControlError.Conflict -> conflictReader.conflict(document, error.expected, error.current)
         else -> error
     }
 
     private companion object {
-        const val MOST_CONFLICTS = 5
+        const val MAX_CONFLICTS = 5
     }
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/ErrorReport.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/ErrorReport.kt
@@ -8,9 +8,10 @@
 import org.cicadaarch.configuration.DocumentDifference
 
 /**
- * Turns errors into reports.
+ * Converts errors to reports.
  */
 internal object ErrorReport {
+    /** Returns the report of [error]. */
     fun of(error: ControlError): Report = Report(
         text = textOf(error),
         json = buildJsonObject {
@@ -48,13 +49,13 @@
     private fun textOf(error: ControlError): String = when (error) {
         is ControlError.Usage -> error.reason
         is ControlError.InvalidDocument -> "${error.source} is invalid:\n" + error.errors.joinToString("\n") { "  $it" }
-        is ControlError.Conflict -> conflict(error)
+        is ControlError.Conflict -> conflictText(error)
         is ControlError.Unreachable -> "${error.peer} cannot be reached: ${error.reason}"
         is ControlError.Unsettled -> "the write may have taken effect (${error.reason}); compare with cicadactl diff"
         is ControlError.Failed -> error.reason
     }
 
-    private fun conflict(error: ControlError.Conflict): String = buildString {
+    private fun conflictText(error: ControlError.Conflict): String = buildString {
         val current = error.current
         append("conflict: the document is ")
         if (current == null) append("absent") else append("at revision ${current.revision}")
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/ExitCode.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/ExitCode.kt
@@ -4,7 +4,7 @@
  * The exit codes of cicadactl.
  */
 enum class ExitCode(val code: Int) {
-    /** The command did what it was asked. */
+    /** The command succeeded. */
     DONE(0),
 
     /** The command failed for a reason that has no code of its own. */
@@ -16,7 +16,7 @@
     /** The document has errors; nothing was written. */
     INVALID(3),
 
-    /** The store's document changed meanwhile; nothing was written. */
+    /** The store's document was changed by another operator; nothing was written. */
     CONFLICT(4),
 
     /** The store or the routers could not be reached. */
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStatus.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStatus.kt
@@ -3,9 +3,9 @@
 import kotlinx.serialization.json.JsonObject
 
 /**
- * What several routers' answers say together: each router with the newest revision that anyone knows of it.
+ * The status of the fleet, combined from the responses of several routers: each router with its newest known revision.
  *
- * [preset] and [targets] are those of the answer with the newest revision; [unreachable] are endpoints without answer.
+ * [preset] and [targets] are those of the response with the newest revision; [unreachable] are the endpoints that did not respond.
  */
 internal data class FleetStatus(
     val routers: List<RouterEntry>,
@@ -13,22 +13,23 @@
     val targets: List<JsonObject>,
     val unreachable: List<String>,
 ) {
-    /** The newest revision that a router runs. */
+    /** The newest revision in force on any router. */
     val revision: Long get() = routers.maxOfOrNull { it.revision } ?: 0
 
-    /** The routers that run an older revision than [revision] or none; leaving ones do not count. */
-    fun behind(revision: Long): List<RouterEntry> = routers.filter { !it.leaving && it.revision < revision }
+    /** Returns the routers on which [revision] is not in force yet, without those that are leaving. */
+    fun routersBehind(revision: Long): List<RouterEntry> = routers.filter { !it.leaving && it.revision < revision }
 
-    /** How many routers run [revision] or a newer one. */
-    fun running(revision: Long): Int = routers.count { it.revision >= revision }
+    /** Returns the number of routers on which [revision] or a newer one is in force. */
+    fun runningCount(revision: Long): Int = routers.count { it.revision >= revision }
 
     companion object {
-        fun of(answers: List<RouterStatus>, unreachable: List<String>): FleetStatus {
-            val entries = answers.flatMap { answer ->
-                val isLeaving = answer.routers.any { it.router == answer.router && it.leaving }
-                answer.routers + RouterEntry(answer.router, answer.revision, isLeaving)
+        /** Combines [responses]; the endpoints in [unreachable] did not respond. */
+        fun of(responses: List<RouterStatus>, unreachable: List<String>): FleetStatus {
+            val entries = responses.flatMap { response ->
+                val isLeaving = response.routers.any { it.router == response.router && it.leaving }
+                response.routers + RouterEntry(response.router, response.revision, isLeaving)
             }
-            val newest = answers.maxByOrNull { it.revision }
+            val newest = responses.maxByOrNull { it.revision }
             return FleetStatus(
                 routers = entries.groupBy { it.router }.values.map(::merged).sortedBy { it.router },
                 preset = newest?.preset,
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStore.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStore.kt
@@ -14,10 +14,11 @@
 import org.cicadaarch.store.Store
 
 /**
- * Reads and writes the fleet document in the platform's [store], trying each [attempts] times.
+ * Reads and writes the fleet document in the platform's [store]. Each call is attempted up to [attempts] times, with a
+ * [pause] in between.
  *
- * A write whose answer was lost is sent again with the same expected revision: either it takes effect now, or the
- * store's history after that revision tells whether the lost one did.
+ * A write whose response is lost is retried with the same expected revision. If that fails with a conflict, the store's
+ * history after that revision shows whether the lost write took effect.
  */
 class FleetStore(
     store: Store,
@@ -27,11 +28,11 @@
 ) {
     private val caller = StoreCaller(store, timeout)
 
-    /** The document in the store, null when there is none. */
+    /** Reads the document; null if there is none. */
     fun read(): Either<ControlError, StoredDocument?> {
         var reason = ""
         repeat(attempts) { attempt ->
-            if (attempt > 0) waitForNext()
+            if (attempt > 0) pauseBeforeRetry()
             val result = caller.call(StoreCommand.Read(StoreKeys.FLEET_DOCUMENT))
             if (result is StoreResult.Values) return documentOf(result.values.firstOrNull()).right()
             reason = reasonOf(result)
@@ -39,18 +40,18 @@
         return ControlError.Unreachable(STORE, reason).left()
     }
 
-    /** Writes [text] if the document is at [expected], 0 for none; gives the revision that the write had. */
+    /** Writes [text] if the document is at [expected], 0 if there is none. Returns the revision of the write. */
     fun write(text: String, expected: Long): Either<ControlError, Long> {
         val command = StoreCommand.CompareAndSet(StoreKeys.FLEET_DOCUMENT, expectedState(expected), text)
         var mayHaveRun = false
         var reason = ""
         repeat(attempts) { attempt ->
-            if (attempt > 0) waitForNext()
+            if (attempt > 0) pauseBeforeRetry()
             when (val result = caller.call(command)) {
                 is StoreResult.Written -> return result.revision.right()
 
                 is StoreResult.Conflict -> return when {
-                    mayHaveRun -> settle(text, expected, result.current)
+                    mayHaveRun -> resolveLostWrite(text, expected, result.current)
                     else -> conflict(expected, result.current).left()
                 }
 
@@ -63,18 +64,18 @@
         return if (mayHaveRun) ControlError.Unsettled(reason).left() else ControlError.Unreachable(STORE, reason).left()
     }
 
-    /** The documents from [revision] to [last] in order, without those that the store does not give any more. */
+    /** Returns the documents from [revision] to [last] in order, without those that the store no longer keeps. */
     fun historyFrom(revision: Long, last: StoredDocument): List<StoredDocument> {
         val earlier = changesAfter(revision - 1).mapNotNull(::documentOf).filter { it.revision < last.revision }
         return earlier + last
     }
 
-    private fun settle(text: String, expected: Long, current: StoredValue?): Either<ControlError, Long> {
+    private fun resolveLostWrite(text: String, expected: Long, current: StoredValue?): Either<ControlError, Long> {
         if (current?.value == text) return current.revision.right()
         // Only one write can follow the expected revision directly.
         val next = changesAfter(expected).firstOrNull()
         return when {
-            next == null -> ControlError.Unsettled("the store gives no history after revision $expected").left()
+            next == null -> ControlError.Unsettled("the store keeps no history after revision $expected").left()
             next.value == text -> next.revision.right()
             else -> conflict(expected, current).left()
         }
@@ -99,10 +100,10 @@
     private fun reasonOf(result: StoreResult): String = when (result) {
         is StoreResult.Refused -> result.reason
         is StoreResult.Unanswered -> result.reason
-        else -> "unexpected answer $result"
+        else -> "unexpected result: $result"
     }
 
-    private fun waitForNext() = Thread.sleep(pause.inWholeMilliseconds)
+    private fun pauseBeforeRetry() = Thread.sleep(pause.inWholeMilliseconds)
 
     private companion object {
         const val STORE = "store"
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/Main.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Main.kt
@@ -2,10 +2,10 @@
 
 import kotlin.system.exitProcess
 
-/** The operators' command line; the exit codes are those of [ExitCode]. */
+/** Runs the operators' command line. Exits with a code of [ExitCode]. */
 fun main(arguments: Array<String>) {
     val usageExit = Thread { Runtime.getRuntime().halt(ExitCode.USAGE.code) }
-    // The option parser ends the process by a code of its own when the command line is wrong.
+    // The option parser exits with a code of its own if it cannot parse the command line.
     if (!asksForHelp(arguments)) Runtime.getRuntime().addShutdownHook(usageExit)
     val commandLine = CommandLine(
         environment = System.getenv(),
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/OperatorsClient.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/OperatorsClient.kt
@@ -15,24 +15,25 @@
 import kotlinx.serialization.json.jsonObject
 
 /**
- * Asks the routers' operators' [endpoints], each `host:port`.
+ * An HTTP client of the operators' interface of routers at [endpoints], each as host:port.
  */
 internal class OperatorsClient(private val endpoints: List<String>) {
     private val client = HttpClient.newBuilder().connectTimeout(CONNECT_TIMEOUT).build()
 
+    /** Whether any router is named. */
     val hasEndpoints: Boolean get() = endpoints.isNotEmpty()
 
-    /** The status by all endpoints that answer, at least one. */
+    /** Returns the status by all endpoints that respond, or an error if none does. */
     fun status(): Either<ControlError, FleetStatus> {
-        val answers = endpoints.associateWith { endpoint ->
+        val responses = endpoints.associateWith { endpoint ->
             exchange(endpoint, "/status", method = "GET").flatMap { body ->
                 decoded(endpoint) { controlJson.decodeFromString<RouterStatus>(body) }
             }
         }
-        val reached = answers.values.mapNotNull { it.getOrNull() }
-        val failures = answers.filterValues { it.isLeft() }
+        val reached = responses.values.mapNotNull { it.getOrNull() }
+        val failures = responses.filterValues { it.isLeft() }
         return if (reached.isEmpty()) {
-            noAnswer(
+            noResponse(
                 failures.values,
             )
         } else {
@@ -40,33 +41,36 @@
         }
     }
 
-    /** The first endpoint's answer to [path] with [query]. */
-    fun ask(path: String, query: Map<String, String>): Either<ControlError, JsonObject> {
+    /** Returns the response of the first endpoint that responds to a GET request for [path] with [query]. */
+    fun get(path: String, query: Map<String, String>): Either<ControlError, JsonObject> {
         val target = path + query.entries.joinToString(prefix = "?", separator = "&") { (name, value) ->
             "$name=${URLEncoder.encode(value, Charsets.UTF_8)}"
         }
         val failures = endpoints.map { endpoint ->
-            val answer = exchange(endpoint, target, method = "GET")
+            val response = exchange(endpoint, target, method = "GET")
                 .flatMap { body -> decoded(endpoint) { controlJson.parseToJsonElement(body).jsonObject } }
-            if (answer.isRight() || answer.leftOrNull() is ControlError.Failed) return answer
-            answer
+            if (response.isRight() || response.leftOrNull() is ControlError.Failed) return response
+            response
         }
-        return noAnswer(failures)
+        return noResponse(failures)
     }
 
-    /** Sends an empty POST to [path] of [endpoint]. */
+    /** Sends a POST request without a body for [path] to [endpoint]. */
     fun post(endpoint: String, path: String): Either<ControlError, Unit> =
         exchange(endpoint, path, method = "POST").map { }
 
     private fun exchange(endpoint: String, target: String, method: String): Either<ControlError, String> = try {
         val request = HttpRequest.newBuilder(URI("http://$endpoint$target"))
             .method(method, HttpRequest.BodyPublishers.noBody())
-            .timeout(ANSWER_TIMEOUT)
+            .timeout(RESPONSE_TIMEOUT)
             .build()
-        val answer = client.send(request, HttpResponse.BodyHandlers.ofString())
-        when (answer.statusCode()) {
-            in SUCCESSES -> answer.body().right()
-            else -> ControlError.Failed("$endpoint answered ${answer.statusCode()}: ${answer.body()}").left()
+        val response = client.send(request, HttpResponse.BodyHandlers.ofString())
+        when (response.statusCode()) {
+            in SUCCESS_STATUSES -> response.body().right()
+
+            else -> ControlError.Failed(
+                "$endpoint responded with status ${response.statusCode()}: ${response.body()}",
+            ).left()
         }
     } catch (failure: IOException) {
         ControlError.Unreachable("router at $endpoint", failure.message ?: failure.toString()).left()
@@ -75,17 +79,17 @@
     private fun <T> decoded(endpoint: String, decode: () -> T): Either<ControlError, T> = try {
         decode().right()
     } catch (failure: IllegalArgumentException) {
-        ControlError.Failed("$endpoint answered what cannot be read: ${failure.message}").left()
+        ControlError.Failed("$endpoint sent an unreadable response: ${failure.message}").left()
     }
 
-    private fun noAnswer(failures: Collection<Either<ControlError, *>>): Either<ControlError, Nothing> {
+    private fun noResponse(failures: Collection<Either<ControlError, *>>): Either<ControlError, Nothing> {
         val first = failures.firstNotNullOfOrNull { it.leftOrNull() }
         return (first ?: ControlError.Usage("no router is named: give --operators or CICADAARCH_OPERATORS")).left()
     }
 
     private companion object {
         val CONNECT_TIMEOUT: Duration = Duration.ofSeconds(1)
-        val ANSWER_TIMEOUT: Duration = Duration.ofSeconds(3)
-        val SUCCESSES = 200..299
+        val RESPONSE_TIMEOUT: Duration = Duration.ofSeconds(3)
+        val SUCCESS_STATUSES = 200..299
     }
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/Report.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/Report.kt
@@ -3,6 +3,6 @@
 import kotlinx.serialization.json.JsonObject
 
 /**
- * What a command has to say, as [text] for people or [json] for programs.
+ * The result of a command, as [text] for people and [json] for programs.
  */
 data class Report(val text: String, val json: JsonObject, val exitCode: ExitCode = ExitCode.DONE)
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/RolloutWatcher.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/RolloutWatcher.kt
@@ -5,22 +5,22 @@
 import kotlin.time.TimeSource
 
 /**
- * Waits until the routers report a revision.
+ * Waits for at most [timeout] until a revision is in force on the routers.
  */
-internal class RolloutWatcher(private val operators: OperatorsClient, private val patience: Duration) {
-    /** The last status seen: with [revision] on all known routers, or after the patience; null without any answer. */
+internal class RolloutWatcher(private val operators: OperatorsClient, private val timeout: Duration) {
+    /** Waits until [revision] is in force on all known routers. Returns the last status; null if no router responded. */
     fun await(revision: Long): FleetStatus? {
-        val deadline = TimeSource.Monotonic.markNow() + patience
+        val deadline = TimeSource.Monotonic.markNow() + timeout
         var last: FleetStatus? = null
         while (true) {
             last = operators.status().getOrNull() ?: last
-            val isDone = last != null && last.behind(revision).isEmpty()
+            val isDone = last != null && last.routersBehind(revision).isEmpty()
             if (isDone || deadline.hasPassedNow()) return last
-            Thread.sleep(POLL_PERIOD.inWholeMilliseconds)
+            Thread.sleep(POLL_INTERVAL.inWholeMilliseconds)
         }
     }
 
     private companion object {
-        val POLL_PERIOD = 300.milliseconds
+        val POLL_INTERVAL = 300.milliseconds
     }
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/RouterStatus.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/RouterStatus.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.json.JsonObject
 
 /**
- * The answer of a router's `GET /status`: its own revision and preset, and what it knows of the others.
+ * A router's response to `GET /status`: its own revision and preset, and the routers and targets that it knows.
  */
 @Serializable
 internal data class RouterStatus(
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/StoreCaller.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/StoreCaller.kt
@@ -9,16 +9,17 @@
 import org.cicadaarch.store.Store
 
 /**
- * Calls [store] and waits for each answer, for at most [timeout].
+ * Executes commands of [store] synchronously, each within [timeout].
  */
 internal class StoreCaller(private val store: Store, private val timeout: Duration) {
+    /** Executes [command] and returns its result. */
     fun call(command: StoreCommand): StoreResult {
-        val answer = CompletableFuture<StoreResult>()
-        store.execute(command) { answer.complete(it) }
+        val response = CompletableFuture<StoreResult>()
+        store.execute(command) { response.complete(it) }
         return try {
-            answer.get(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            response.get(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         } catch (_: TimeoutException) {
-            StoreResult.Unanswered("no answer in $timeout")
+            StoreResult.Unanswered("no response within $timeout")
         }
     }
 }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/StoredDocument.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/StoredDocument.kt
@@ -4,24 +4,24 @@
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * The fleet document's [text] in the store at [revision], and the operator named in it.
+ * The [text] of the fleet document in the store at [revision].
  */
 data class StoredDocument(val revision: Long, val text: String) {
-    /** Who wrote the text, null when it does not say. */
+    /** The operator who wrote the text, or null if the text does not name one. */
     val author: String? get() = commentAfter(AUTHOR_COMMENT, text)
 
-    /** The text with its revision, from which an edited copy can be applied. */
+    /** The text with its revision in a comment, so that an edited copy can be applied. */
     val textWithRevision: String get() = "$REVISION_COMMENT$revision\n$text"
 
     companion object {
         private const val REVISION_COMMENT = "# revision: "
         private const val AUTHOR_COMMENT = "# changed by: "
 
-        /** The text under which [author] stores [document]. */
+        /** Returns the text of [document] with [author] in a comment. */
         fun textOf(document: FleetDocument, author: String): String =
             AUTHOR_COMMENT + author.lineSequence().first() + "\n" + FleetDocumentWriter.write(document)
 
-        /** The revision that an edited copy of a shown document is based on, null when [text] names none. */
+        /** Returns the revision that the edited copy [text] is based on, or null if it names none. */
         fun revisionIn(text: String): Long? = commentAfter(REVISION_COMMENT, text)?.toLongOrNull()
 
         private fun commentAfter(start: String, text: String): String? = text.lineSequence()
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ApplyCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ApplyCommand.kt
@@ -9,7 +9,7 @@
 import org.cicadaarch.control.Report
 import org.cicadaarch.control.StoredDocument
 
-/** Replaces the store's document if nobody changed it since. */
+/** Replaces the store's document unless another operator has changed it since. */
 internal class ApplyCommand(environment: Map<String, String>) :
     ControlCommand("apply", "Replace the store's document and wait until it is in force", environment) {
     private val file by argument(ArgType.String, "file", description = "The document in YAML")
@@ -26,7 +26,7 @@
         ChangeReport(operators(), rolloutWatcher()).of(change)
     }
 
-    // A file that names no revision may only be the first document: else it could undo another operator's edit.
+    // Without a revision, applying the file could revert another operator's edit, unless the store has no document.
     private fun expected(editor: DocumentEditor): Either<ControlError, Long> = either {
         val named = expectedRevision?.toLong() ?: StoredDocument.revisionIn(textOf(file).bind())
         val stored = editor.current().bind()
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ChangeReport.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ChangeReport.kt
@@ -13,25 +13,25 @@
 import org.cicadaarch.control.jsonOf
 
 /**
- * Tells of an accepted change and how far it has come.
+ * Reports an accepted change and on how many routers it is in force.
  */
 internal class ChangeReport(private val operators: OperatorsClient, private val rollout: RolloutWatcher) {
-    /** Waits for the routers, if any are named, and reports. */
+    /** Waits until [change] is in force on the routers, if any are named, and returns the report. */
     fun of(change: Change): Report = when {
         operators.hasEndpoints -> withRollout(change, rollout.await(change.revision))
         else -> report(change, "no router was asked: give --operators to see where it is in force", null)
     }
 
     private fun withRollout(change: Change, status: FleetStatus?): Report {
-        val behind = status?.behind(change.revision).orEmpty()
+        val behind = status?.routersBehind(change.revision).orEmpty()
         return when {
-            status == null -> report(change, "no router answered", null, ExitCode.NOT_IN_FORCE)
+            status == null -> report(change, "no router responded", null, ExitCode.NOT_IN_FORCE)
 
             behind.isEmpty() -> report(change, "in force on all ${status.routers.size} routers", status)
 
             else -> report(
                 change,
-                "in force on ${status.running(change.revision)} of ${status.routers.size} routers; " +
+                "in force on ${status.runningCount(change.revision)} of ${status.routers.size} routers; " +
                     "not yet on ${behind.joinToString { it.router }}",
                 status,
                 ExitCode.NOT_IN_FORCE,
@@ -46,8 +46,15 @@
                 put("revision", change.revision)
                 put("differences", jsonOf(change.differences))
                 put("routers", status?.routers?.size)
-                put("running", status?.running(change.revision))
-                put("behind", JsonArray(status?.behind(change.revision).orEmpty().map { JsonPrimitive(it.router) }))
+                put("running", status?.runningCount(change.revision))
+                put(
+                    "behind",
+                    JsonArray(
+                        status?.routersBehind(change.revision).orEmpty().map {
+                            JsonPrimitive(it.router)
+                        },
+                    ),
+                )
             },
             exitCode = exitCode,
         )
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ControlCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ControlCommand.kt
@@ -8,7 +8,6 @@
 import arrow.core.right
 import java.nio.file.Files
 import java.nio.file.Path
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
@@ -25,7 +24,7 @@
 import org.cicadaarch.model.fleet.FleetDocument
 
 /**
- * A subcommand with the options that all share; [environment] gives the defaults.
+ * A subcommand with the options that all of them share. Options that are not given are taken from [environment].
  */
 internal abstract class ControlCommand(
     name: String,
@@ -42,10 +41,10 @@
     private val wait by option(ArgType.Int, "wait", description = "Seconds to wait for routers to run a change")
         .default(DEFAULT_WAIT.inWholeSeconds.toInt())
 
-    /** How the report is printed. */
+    /** The format in which the report is printed. */
     val output by option(ArgType.Choice(OUTPUTS, { it }), "output", description = "Form of the report").default(TEXT)
 
-    /** The report, null before the command ran. */
+    /** The report, or null before the command has run. */
     var report: Report? = null
         private set
 
@@ -68,7 +67,7 @@
         return OperatorsClient(named.split(',').map { it.trim() }.filter { it.isNotEmpty() })
     }
 
-    protected fun rolloutWatcher(): RolloutWatcher = RolloutWatcher(operators(), patience())
+    protected fun rolloutWatcher(): RolloutWatcher = RolloutWatcher(operators(), wait.seconds)
 
     protected fun textOf(file: String): Either<ControlError, String> {
         val path = Path.of(file)
@@ -83,8 +82,6 @@
         FleetDocumentParser.parse(text).mapLeft { ControlError.InvalidDocument(file, it) }
     }
 
-    private fun patience(): Duration = wait.seconds
-
     private fun authorName(): String =
         author ?: environment["CICADAARCH_AUTHOR"] ?: environment["USER"] ?: System.getProperty("user.name")
 
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/DiffCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/DiffCommand.kt
@@ -10,7 +10,7 @@
 import org.cicadaarch.control.Report
 import org.cicadaarch.control.jsonOf
 
-/** Compares a document with the store's. */
+/** Compares a document with the one in the store. */
 internal class DiffCommand(environment: Map<String, String>) :
     ControlCommand("diff", "Show what applying a document would change", environment) {
     private val file by argument(ArgType.String, "file", description = "The document in YAML")
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/DrainCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/DrainCommand.kt
@@ -14,7 +14,7 @@
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.fleet.FleetDocument
 
-/** Takes a target or a router out of service without cutting off a request. */
+/** Takes a target or a router out of service after its requests in flight. */
 internal class DrainCommand(environment: Map<String, String>) :
     ControlCommand("drain", "Give a target or a router no new work", environment) {
     private val target by option(ArgType.String, "target", description = "Name of a target of the document")
@@ -33,11 +33,11 @@
     }
 
     private fun drainTarget(connections: Connections, id: TargetId): Either<ControlError, Report> = either {
-        val change = editor(connections).bind().edit { leaving(it, id) }.bind()
+        val change = editor(connections).bind().edit { withLeaving(it, id) }.bind()
         ChangeReport(operators(), rolloutWatcher()).of(change)
     }
 
-    private fun leaving(document: FleetDocument, id: TargetId): Either<ControlError, FleetDocument> {
+    private fun withLeaving(document: FleetDocument, id: TargetId): Either<ControlError, FleetDocument> {
         val before = document.targets[id] ?: return ControlError.Failed("the document has no target $id").left()
         return document.copy(targets = document.targets + (id to before.copy(leaving = !isCancelled))).right()
     }
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ExplainCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ExplainCommand.kt
@@ -12,7 +12,7 @@
 import org.cicadaarch.control.Report
 import org.cicadaarch.control.pairsOf
 
-/** Asks a router where a chat would go and why. */
+/** Shows to which target a router would send a chat, and why. */
 internal class ExplainCommand(environment: Map<String, String>) :
     ControlCommand("explain", "Show where a chat would go and why", environment) {
     private val account by option(ArgType.String, "account", description = "The client account").required()
@@ -20,7 +20,7 @@
     private val chat by option(ArgType.String, "chat", description = "The chat").required()
 
     override fun run(connections: Connections): Either<ControlError, Report> = operators()
-        .ask("/explain", mapOf("account" to account, "service" to service, "chat" to chat))
+        .get("/explain", mapOf("account" to account, "service" to service, "chat" to chat))
         .map { answer -> Report(text = answer.entries.joinToString("\n", transform = ::line), json = answer) }
 
     private fun line(entry: Map.Entry<String, JsonElement>): String = when (val value = entry.value) {
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/HashCredentialCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/HashCredentialCommand.kt
@@ -13,7 +13,7 @@
 import org.cicadaarch.control.ControlError
 import org.cicadaarch.control.Report
 
-/** Hashes a secret for the document; it is read from standard input, as arguments are seen by other users. */
+/** Hashes a secret for the document. Reads it from standard input, since other users can see arguments. */
 internal class HashCredentialCommand(environment: Map<String, String>, private val readSecret: () -> String?) :
     ControlCommand("hash-credential", "Hash a secret from standard input for the document", environment) {
     private val iterations by option(ArgType.Int, "iterations", description = "Rounds of the hash")
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ShowCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ShowCommand.kt
@@ -8,7 +8,7 @@
 import org.cicadaarch.control.ControlError
 import org.cicadaarch.control.Report
 
-/** Prints the store's document with its revision, ready to be edited and applied. */
+/** Prints the store's document with its revision, so that it can be edited and applied. */
 internal class ShowCommand(environment: Map<String, String>) :
     ControlCommand("show", "Print the store's document", environment) {
     override fun run(connections: Connections): Either<ControlError, Report> =
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/StatusCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/StatusCommand.kt
@@ -13,7 +13,7 @@
 import org.cicadaarch.control.controlJson
 import org.cicadaarch.control.pairsOf
 
-/** Prints what the routers know of one another and of the targets. */
+/** Prints the revisions of the routers and the state of the targets. */
 internal class StatusCommand(environment: Map<String, String>) :
     ControlCommand("status", "Show revisions of routers and state of targets", environment) {
     override fun run(connections: Connections): Either<ControlError, Report> =
@@ -21,7 +21,9 @@
 
     private fun textOf(status: FleetStatus): String = buildList {
         add(
-            "revision ${status.revision} on ${status.running(status.revision)} of ${status.routers.size} routers, " +
+            "revision ${status.revision} on ${status.runningCount(
+                status.revision,
+            )} of ${status.routers.size} routers, " +
                 "preset ${status.preset ?: "unknown"}",
         )
         status.routers.forEach { router ->
@@ -34,7 +36,7 @@
     private fun jsonOf(status: FleetStatus) = buildJsonObject {
         put("revision", status.revision)
         put("preset", status.preset)
-        put("running", status.running(status.revision))
+        put("running", status.runningCount(status.revision))
         put("routers", controlJson.encodeToJsonElement(status.routers))
         put("targets", JsonArray(status.targets))
         put("unreachable", JsonArray(status.unreachable.map(::JsonPrimitive)))
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/TraceCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/TraceCommand.kt
@@ -14,7 +14,7 @@
 import org.cicadaarch.control.ControlError
 import org.cicadaarch.control.Report
 
-/** Tells what happened to one request, in order, from the logs of all routers. */
+/** Prints the log lines of one request in order of time, from the logs of all routers. */
 internal class TraceCommand(environment: Map<String, String>) :
     ControlCommand("trace", "Show the log lines of one request in order of time", environment) {
     private val request by argument(ArgType.String, "request", description = "Id of the request")
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ValidateCommand.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/command/ValidateCommand.kt
@@ -8,7 +8,7 @@
 import org.cicadaarch.control.ControlError
 import org.cicadaarch.control.Report
 
-/** Checks a document without the store. */
+/** Validates a document without access to the store. */
 internal class ValidateCommand(environment: Map<String, String>) :
     ControlCommand("validate", "Check a document and list all of its errors", environment) {
     private val file by argument(ArgType.String, "file", description = "The document in YAML")
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
@@ -21,7 +21,7 @@
     @TempDir
     lateinit var directory: Path
     private val store = StoreStandIn()
-    private var revisionOfLaggard = Long.MAX_VALUE
+    private var otherRouterRevision = Long.MAX_VALUE
     private val router = OperatorsStandIn { target ->
         when (target) {
             "/status" -> statusJson()
@@ -69,7 +69,7 @@
     }
 
     @Test
-    fun `Given two operators with one base, when both apply, then the second is told and neither edit is lost`() {
+    fun `Given two operators with one base, when both apply, then the second gets a conflict and neither edit is lost`() {
         run(ExitCode.DONE, "apply", EXAMPLE)
         val shown = run(ExitCode.DONE, "show")
         val first = file("first.yaml", shown.replaceFirst("capacity: 32", "capacity: 40"))
@@ -88,14 +88,14 @@
     }
 
     @Test
-    fun `Given a router that lags, when a document is applied, then the count and the router are named`() {
-        revisionOfLaggard = 0
+    fun `Given a router on an older revision, when a document is applied, then the report names it`() {
+        otherRouterRevision = 0
         val report = run(ExitCode.NOT_IN_FORCE, "apply", EXAMPLE, "--wait", "1")
         assertTrue("in force on 1 of 2 routers; not yet on router-b" in report, report)
     }
 
     @Test
-    fun `Given one router, when it is asked, then status, explanation and drain are passed on`() {
+    fun `Given one router, when its status, an explanation or a drain is requested, then it gets the request`() {
         val status = run(ExitCode.DONE, "status")
         assertTrue("target=hire-engine-1 running=3" in status, status)
         val chat = arrayOf("--account", "avon-fruit-cover", "--service", "hire-model", "--chat", "frost night")
@@ -105,7 +105,7 @@
     }
 
     @Test
-    fun `Given what cannot work, when a command runs, then it ends with the code for its reason`() {
+    fun `Given a command that cannot succeed, when it runs, then its exit code states the reason`() {
         val invalid = file("invalid.yaml", Path.of(EXAMPLE).readText().replaceFirst("  hire-model:", "  hired-model:"))
         assertTrue("services.hired-model" in run(ExitCode.INVALID, "validate", invalid))
         run(ExitCode.INVALID, "apply", invalid)
@@ -152,7 +152,7 @@
     private fun statusJson(): String =
         """
         {"router":"router-a","revision":1000,"preset":"ordinary",
-         "routers":[{"router":"router-b","revision":${revisionOfLaggard.coerceAtMost(1000)},"leaving":false}],
+         "routers":[{"router":"router-b","revision":${otherRouterRevision.coerceAtMost(1000)},"leaving":false}],
          "targets":[{"target":"hire-engine-1","running":3}],"uptime":5}
         """
 
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/FleetStoreTest.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/FleetStoreTest.kt
@@ -11,7 +11,9 @@
 class FleetStoreTest {
     @ParameterizedTest
     @MethodSource("cases")
-    fun `Given faults of the store, when a document is written, then its fate is told truly`(case: Case) {
+    fun `Given faults of the store, when a document is written, then the result states whether it took effect`(
+        case: Case,
+    ) {
         val store = LossyStore(case.faults)
         store.put(StoreKeys.FLEET_DOCUMENT, "first")
         val result = FleetStore(store, timeout = 1.seconds, attempts = 3, pause = 1.milliseconds).write("mine", 1)
@@ -19,7 +21,7 @@
         assertEquals(case.texts, store.texts.drop(1))
     }
 
-    /** With [faults] the write has [outcome] and [texts] follow the first document. */
+    /** With [faults], the write has [outcome], and the store's documents after the first one are [texts]. */
     data class Case(val faults: List<Fault>, val outcome: String, val texts: List<String>)
 
     companion object {
@@ -31,10 +33,10 @@
             Case(listOf(), "written at 2", listOf(MINE)),
             Case(listOf(Fault.REFUSED), "written at 2", listOf(MINE)),
             Case(listOf(Fault.LOST), "written at 2", listOf(MINE)),
-            Case(listOf(Fault.ANSWER_LOST), "written at 2", listOf(MINE)),
-            Case(listOf(Fault.ANSWER_LOST_AND_OVERTAKEN), "written at 2", listOf(MINE, OTHER)),
-            Case(listOf(Fault.LOST_AND_FORESTALLED), "Conflict", listOf(OTHER)),
-            Case(listOf(Fault.REFUSED, Fault.LOST_AND_FORESTALLED), "Conflict", listOf(OTHER)),
+            Case(listOf(Fault.RESPONSE_LOST), "written at 2", listOf(MINE)),
+            Case(listOf(Fault.RESPONSE_LOST_BEFORE_OTHER_WRITE), "written at 2", listOf(MINE, OTHER)),
+            Case(listOf(Fault.LOST_BEFORE_OTHER_WRITE), "Conflict", listOf(OTHER)),
+            Case(listOf(Fault.REFUSED, Fault.LOST_BEFORE_OTHER_WRITE), "Conflict", listOf(OTHER)),
             Case(List(3) { Fault.REFUSED }, "Unreachable", listOf()),
             Case(List(3) { Fault.LOST }, "Unsettled", listOf()),
         )
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/LossyStore.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/LossyStore.kt
@@ -7,7 +7,7 @@
 import org.cicadaarch.store.Store
 
 /**
- * The document's key with its history; [faults] strike one write after the other, then none do.
+ * A store with the document's key and its history. The first writes have [faults], one each; later ones have none.
  */
 class LossyStore(private val faults: List<Fault>) : Store {
     private val history = mutableListOf<StoredValue>()
@@ -19,13 +19,13 @@
         NONE,
         REFUSED,
         LOST,
-        ANSWER_LOST,
+        RESPONSE_LOST,
 
-        /** The answer is lost, and another operator's write follows before the next call. */
-        ANSWER_LOST_AND_OVERTAKEN,
+        /** The response is lost, and another operator writes before the next call. */
+        RESPONSE_LOST_BEFORE_OTHER_WRITE,
 
-        /** The write is lost, and another operator's write takes its place. */
-        LOST_AND_FORESTALLED,
+        /** The write is lost, and another operator writes before the next call. */
+        LOST_BEFORE_OTHER_WRITE,
     }
 
     override fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) = when (command) {
@@ -45,9 +45,13 @@
 
     private fun write(command: StoreCommand.CompareAndSet, fault: Fault): StoreResult {
         if (fault == Fault.REFUSED) return StoreResult.Refused("down")
-        val isApplied = fault != Fault.LOST && fault != Fault.LOST_AND_FORESTALLED
+        val isApplied = fault != Fault.LOST && fault != Fault.LOST_BEFORE_OTHER_WRITE
         val result = if (isApplied) compareAndSet(command) else null
-        if (fault == Fault.ANSWER_LOST_AND_OVERTAKEN || fault == Fault.LOST_AND_FORESTALLED) put(command.key, OTHER)
+        if (fault == Fault.RESPONSE_LOST_BEFORE_OTHER_WRITE ||
+            fault == Fault.LOST_BEFORE_OTHER_WRITE
+        ) {
+            put(command.key, OTHER)
+        }
         return result.takeIf { fault == Fault.NONE } ?: StoreResult.Unanswered("connection closed")
     }
 
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/OperatorsStandIn.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/OperatorsStandIn.kt
@@ -7,23 +7,24 @@
 import java.util.concurrent.CopyOnWriteArrayList
 
 /**
- * Answers a router's operators' endpoint on loopback with [answers] by path and query; keeps the [requests].
+ * A stand-in of a router's operators' interface on loopback. Responds with [responses] by path and query, and records the
+ * [requests].
  */
-class OperatorsStandIn(private val answers: (String) -> String?) : AutoCloseable {
+class OperatorsStandIn(private val responses: (String) -> String?) : AutoCloseable {
     private val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
     val requests = CopyOnWriteArrayList<String>()
     val endpoint: String get() = "127.0.0.1:${server.address.port}"
 
     init {
-        server.createContext("/") { exchange -> answer(exchange) }
+        server.createContext("/") { exchange -> respond(exchange) }
         server.start()
     }
 
     override fun close() = server.stop(0)
 
-    private fun answer(exchange: HttpExchange) {
+    private fun respond(exchange: HttpExchange) {
         requests += "${exchange.requestMethod} ${exchange.requestURI}"
-        val body = answers(exchange.requestURI.toString())
+        val body = responses(exchange.requestURI.toString())
         val bytes = (body ?: "no such path").toByteArray()
         exchange.sendResponseHeaders(if (body == null) 404 else 200, bytes.size.toLong())
         exchange.responseBody.use { it.write(bytes) }
