--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
@@ -72,7 +72,7 @@
     ) = PrefixWatcher(prefix, removalGracePeriod, minOutage, storeClient, time, onValues)
 
     companion object {
-        const val CONFIGURATION_PREFIX = "op/"
-        const val TARGET_PREFIX = "servers/"
+        const val CONFIGURATION_PREFIX = "configuration/"
+        const val TARGET_PREFIX = "targets/"
     }
 }
