--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -10,8 +10,9 @@
  *
  * Attempts with a prompt use rendezvous hashing with bounded loads: they go to the first target in the order of their
  * prompt key whose usual load is below the load bound, so that requests with the same prompt find it in one target's
- * cache. In a large fleet a router has seldom a recent report of a target; a target without one counts as a typical one,
- * not as empty. Other attempts go to the least loaded target; on a tie, one in the router's own [zone] is preferred.
+ * cache. In a large fleet a router seldom has a recent report of a target; one without a report counts as a typical
+ * target, not as an empty one. Other attempts go to the least loaded target; on a tie, one in the router's own [zone]
+ * is preferred.
  */
 class TargetSelector(private val zone: ZoneName, private val imbalanceFactor: Double) {
     /** Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. */
@@ -90,7 +91,7 @@
         /** Requests added to the load bound, as a multiple of the mean alone is too strict when the mean is small. */
         const val LOAD_BOUND_SLACK = 3.0
 
-        /** Part of the load bound that a router uses, since reports are seconds old and other routers act on them too. */
+        /** Part of the load bound in use, since reports are seconds old and other routers act on them too. */
         const val LOAD_BOUND_FRACTION = 0.75
         const val OUTLIER_ERROR_RATE = 0.3
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -8,9 +8,10 @@
  * What this router knows of a target.
  *
  * [inFlight] counts the attempts of this router; [othersInFlight] is the number of requests from other routers at
- * [reportedAt], by the target's last load report, and [usualOthersInFlight] a moving average of that number. While attempts are in flight, [silentSince] is when the target last
- * sent data. After a failure without a usable response the target is ejected until [ejectedUntil]; [failures] counts
- * these failures since the last success. [errorRate] is an exponential moving average.
+ * [reportedAt], by the target's last load report, and [usualOthersInFlight] a moving average of that number. While
+ * attempts are in flight, [silentSince] is when the target last sent data. After a failure without a usable response
+ * the target is ejected until [ejectedUntil]; [failures] counts these failures since the last success. [errorRate] is
+ * an exponential moving average.
  */
 data class TargetState(
     val entry: TargetEntry,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -94,7 +94,7 @@
     /**
      * Applies [update] if it is newer than this router's copy and does not build on a revision later than that copy.
      * Values that the peer no longer has are removed even during an outage, as the peer learned of the removal from the
-     * store. A pending watch is renewed, as it should have reported the change first: its connection may have gone silent.
+     * store. A pending watch is renewed, as it should have reported the change first: its connection may be silent.
      */
     private fun peerUpdateReceived(
         state: WatchState,
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/PeerUpdateTest.kt
@@ -159,7 +159,7 @@
         assertEquals("new", peer.values["a"])
     }
 
-    /** Guards against requests to a target that left: a watch on a silent connection delayed the news by its timeout. */
+    /** Guards against requests to a target that left: a watch on a silent connection delayed the news. */
     @Test
     fun `Given a pending watch, when a peer knows of a later change, then the watch is renewed`() {
         startWith("a" to 2L)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
@@ -14,7 +14,8 @@
 
 /**
  * Watches the store's values under [prefix] and passes them to [onValues] after each change. All functions must be
- * called in tasks of [scheduler]. The [WatchReducer] explains the grace period for removed values and the minimum outage.
+ * called in tasks of [scheduler]. The [WatchReducer] explains the grace period for removed values and the minimum
+ * outage.
  */
 internal class PrefixWatcher(
     private val prefix: String,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Polls all watching routers at once after one of them has failed, as others may have failed with it. So a change is
-     * delayed by one failed poll, however many of them are lost.
+     * Polls all watching routers at once after one of them has failed, as others may have failed with it. So a change
+     * is delayed by one failed poll, however many of them are lost.
      */
     private fun pollAllWatchers() {
         val now = scheduler.now()
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStatus.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/FleetStatus.kt
@@ -5,7 +5,8 @@
 /**
  * The status of the fleet, combined from the responses of several routers: each router with its newest known revision.
  *
- * [preset] and [targets] are those of the response with the newest revision; [unreachable] are the endpoints that did not respond.
+ * [preset] and [targets] are those of the response with the newest revision; [unreachable] are the endpoints that did
+ * not respond.
  */
 internal data class FleetStatus(
     val routers: List<RouterEntry>,
--- a/cicadactl/src/main/kotlin/org/cicadaarch/control/RolloutWatcher.kt
+++ b/cicadactl/src/main/kotlin/org/cicadaarch/control/RolloutWatcher.kt
@@ -8,7 +8,7 @@
  * Waits for at most [timeout] until a revision is in force on the routers.
  */
 internal class RolloutWatcher(private val operators: OperatorsClient, private val timeout: Duration) {
-    /** Waits until [revision] is in force on all known routers. Returns the last status; null if no router responded. */
+    /** Waits until [revision] is in force on all routers. Returns the last status, null if no router responded. */
     fun await(revision: Long): FleetStatus? {
         val deadline = TimeSource.Monotonic.markNow() + timeout
         var last: FleetStatus? = null
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/CommandLineTest.kt
@@ -69,7 +69,7 @@
     }
 
     @Test
-    fun `Given two operators with one base, when both apply, then the second gets a conflict and neither edit is lost`() {
+    fun `Given two operators with one base, when both apply, then the second gets a conflict and no edit is lost`() {
         run(ExitCode.DONE, "apply", EXAMPLE)
         val shown = run(ExitCode.DONE, "show")
         val first = file("first.yaml", shown.replaceFirst("capacity: 32", "capacity: 40"))
--- a/cicadactl/src/test/kotlin/org/cicadaarch/control/OperatorsStandIn.kt
+++ b/cicadactl/src/test/kotlin/org/cicadaarch/control/OperatorsStandIn.kt
@@ -7,8 +7,8 @@
 import java.util.concurrent.CopyOnWriteArrayList
 
 /**
- * A stand-in of a router's operators' interface on loopback. Responds with [responses] by path and query, and records the
- * [requests].
+ * A stand-in of a router's operators' interface on loopback. Responds with [responses] by path and query, and records
+ * the [requests].
  */
 class OperatorsStandIn(private val responses: (String) -> String?) : AutoCloseable {
     private val server = HttpServer.create(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0)
