Let the system pick the ports of routers in tests

The fixtures picked a free port, closed it and bound it later, beside other test processes: time of check to time of use.

Change: the listening addresses of both programs accept port 0; the line router-started and an accessor state the ports in use.

Ruled out: keeping the ports over a restart, which is the same race again.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -23,6 +23,7 @@
 import org.cicadaarch.forwarding.peer.PeerSync
 import org.cicadaarch.forwarding.target.TargetConnectionPool
 import org.cicadaarch.logging.LogEvents
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.store.Store
 
 /**
@@ -73,25 +74,27 @@
         onValues = fleetReader::targetsChanged,
     )
 
-    private val peerSync = PeerSync(
-        self = settings.peerAddress,
-        seeds = settings.seedPeers,
-        transport = HttpPeerTransport(settings.peerAddress, eventLoops),
-        scheduler = scheduler,
-        prefixWatchers = prefixWatchers(),
-    )
+    private val peerTransport = HttpPeerTransport(settings.peerAddress, eventLoops)
+
+    /** The addresses in use, once the process has started. */
+    lateinit var addresses: ListenAddresses
+        private set
 
     /** Binds all addresses and starts to watch the store. Throws an exception when an address is in use. */
     fun start() {
         registerGauges()
-        statusEndpoint.start()
+        val readiness = statusEndpoint.bind()
+        statusEndpoint.accept()
+        val peers = peerTransport.bind()
+        val peerSync = peerSync(self = peers)
         peerSync.listen()
         exchanges.holdEarlyRequests(settings.startupHoldTime)
-        clientListener.start()
+        addresses = ListenAddresses(clients = clientListener.start(), readiness = readiness, peers = peers)
         LogEvents.info("router-started") {
             "router" to settings.name
-            "callers" to settings.listenAddress
-            "readiness" to settings.readinessAddress
+            "callers" to addresses.clients
+            "readiness" to addresses.readiness
+            "peers" to addresses.peers
             "zone" to settings.dispatch.zone
         }
         eventLoop.submit {
@@ -131,6 +134,14 @@
     /** Waits until [stop] has finished. */
     fun awaitStopped() = stopped.await()
 
+    private fun peerSync(self: RouterAddress) = PeerSync(
+        self = self,
+        seeds = settings.seedPeers,
+        transport = peerTransport,
+        scheduler = scheduler,
+        prefixWatchers = prefixWatchers(),
+    )
+
     private fun registerGauges() {
         metrics.registerGauge(
             name = "cicadaarch_target_load",
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
@@ -6,7 +6,8 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Settings of a router that forwards requests by routes.
+ * Settings of a router that forwards requests by routes. For a listening address with port 0, the system picks a free
+ * port.
  *
  * [readinessPath] at [readinessAddress] responds with status 200 while new connections are accepted. Other routers
  * reach this one at [peerAddress]; [seedPeers] are some of them and may include routers that no longer run. The process
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
@@ -10,10 +10,11 @@
 import java.net.InetSocketAddress
 import org.cicadaarch.dispatch.routing.ClientLimits
 import org.cicadaarch.forwarding.exchange.ExchangeManager
+import org.cicadaarch.forwarding.http.BoundAddress
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Accepts client connections. While it drains, it closes each connection after its current request.
+ * Accepts client connections at [address]; with port 0 the system picks a free port. While it drains, it closes each connection after its current request.
  */
 internal class ClientListener(
     private val address: RouterAddress,
@@ -37,9 +38,9 @@
     /** Number of open client connections. */
     val openConnections: Int get() = handlers.size
 
-    /** Binds the address. Throws an exception when it is in use. */
-    fun start() {
-        serverChannel = ServerBootstrap()
+    /** Binds the address and returns it with the port in use. Throws an exception when it is in use. */
+    fun start(): RouterAddress {
+        val channel = ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -49,6 +50,8 @@
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
             .channel()
+        serverChannel = channel
+        return BoundAddress.of(address, channel)
     }
 
     /** Closes each connection after its next response. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -22,7 +22,7 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * An HTTP server at [address]. [onRequest] is called with the path and query of each request and a function that sends
+ * An HTTP server at [address]; with port 0 the system picks a free port. [onRequest] is called with the path and query of each request and a function that sends
  * the reply, which it may call at once or later. Request bodies are ignored. Large replies are compressed for clients
  * that accept it.
  */
@@ -31,16 +31,29 @@
     private val eventLoops: EventLoopGroup,
     private val onRequest: (uri: String, respond: (HttpReply) -> Unit) -> Unit,
 ) {
-    /** Binds the address. Throws an exception when it is in use. */
-    fun start() {
-        ServerBootstrap()
+    private lateinit var serverChannel: Channel
+
+    /**
+     * Binds the address and returns it with the port in use. Throws an exception when it is in use. Connections wait
+     * until [accept] is called.
+     */
+    fun bind(): RouterAddress {
+        serverChannel = ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(ConnectionInitializer())
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
+            .channel()
+        return BoundAddress.of(address, serverChannel)
+    }
+
+    /** Accepts connections from now on. */
+    fun accept() {
+        serverChannel.config().isAutoRead = true
     }
 
     private inner class ConnectionInitializer : ChannelInitializer<Channel>() {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/HttpPeerTransport.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/HttpPeerTransport.kt
@@ -12,14 +12,22 @@
 import org.cicadaarch.store.HttpOutcome
 
 /**
- * Sends polls as HTTP requests, and receives them at [self]. All functions must be called on one thread.
+ * Sends polls as HTTP requests, and receives them at [listenAddress]. All functions but [bind] must be called on one
+ * thread.
  */
-internal class HttpPeerTransport(private val self: RouterAddress, private val eventLoops: EventLoopGroup) :
+internal class HttpPeerTransport(listenAddress: RouterAddress, private val eventLoops: EventLoopGroup) :
     PeerTransport {
     private val clients = HashMap<RouterAddress, HttpClient>()
+    private lateinit var onRequest: (uri: String, respond: (HttpReply) -> Unit) -> Unit
+    private val endpoint = HttpEndpoint(listenAddress, eventLoops) { uri, respond -> onRequest(uri, respond) }
 
-    override fun listen(onRequest: (uri: String, respond: (HttpReply) -> Unit) -> Unit) =
-        HttpEndpoint(self, eventLoops, onRequest).start()
+    /** Binds the address and returns it with the port in use. Throws an exception when it is in use. */
+    fun bind(): RouterAddress = endpoint.bind()
+
+    override fun listen(onRequest: (uri: String, respond: (HttpReply) -> Unit) -> Unit) {
+        this.onRequest = onRequest
+        endpoint.accept()
+    }
 
     override fun poll(peer: RouterAddress, uri: String, timeout: Duration, onOutcome: (HttpOutcome) -> Unit) {
         val client = clients.getOrPut(peer) { HttpClient(eventLoops, InetSocketAddress(peer.host, peer.port)) }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -36,7 +36,7 @@
     private var allPolledAt: Timestamp? = null
     private var pollCount = random.nextInt(PeerDirectory.WATCHER_COUNT)
 
-    /** Binds the peer address. Throws an exception when it is in use. */
+    /** Accepts the polls of other routers. */
     fun listen() = transport.listen(server::onRequest)
 
     /** Starts to poll other routers. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerTransport.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerTransport.kt
@@ -9,7 +9,7 @@
  * Carries polls between routers.
  */
 internal interface PeerTransport {
-    /** Passes the polls of other routers to [onRequest]. Throws an exception when the address is in use. */
+    /** Passes the polls of other routers to [onRequest]. */
     fun listen(onRequest: (uri: String, respond: (HttpReply) -> Unit) -> Unit)
 
     /** Sends a poll for [uri] to [peer]. [onOutcome] is called once, within [timeout], on any thread. */
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/Main.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/Main.kt
@@ -16,9 +16,8 @@
         },
         ifRight = { it },
     )
-    val process = RouterProcess(settings)
-    try {
-        process.start()
+    val process = try {
+        RouterProcess(settings).also { it.start() }
     } catch (exception: Exception) {
         LogEvents.error("start-failed", exception)
         exitProcess(EXIT_START_FAILED)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -32,6 +32,7 @@
 import org.cicadaarch.router.operators.OperatorsServer
 import org.cicadaarch.router.peer.PeerDatagrams
 import org.cicadaarch.router.peer.PeerLinks
+import org.cicadaarch.router.peer.PeerSockets
 import org.cicadaarch.router.runtime.EffectRunner
 import org.cicadaarch.router.runtime.MonotonicClock
 import org.cicadaarch.router.runtime.ReducerLoop
@@ -44,11 +45,13 @@
 import org.cicadaarch.store.HttpVirtualMachineList
 
 /**
- * A router: the reducer and everything that carries out its effects.
+ * A router: the reducer and everything that carries out its effects. Its peer address is bound at once, since it is part
+ * of the router's identity; the constructor throws an exception when that address is in use.
  */
 class RouterProcess(private val settings: RouterSettings) {
     private val startNumber = SecureRandom().nextLong()
-    private val self = RouterId("${settings.peerAddress}/${java.lang.Long.toHexString(startNumber)}")
+    private val peerSockets = PeerSockets.bind(settings.peerAddress)
+    private val self = RouterId("${peerSockets.address}/${java.lang.Long.toHexString(startNumber)}")
     private val eventLoops = MultiThreadIoEventLoopGroup(NioIoHandler.newFactory())
     private val background = Executors.newSingleThreadScheduledExecutor {
         Thread(it, "background").apply { isDaemon = true }
@@ -72,7 +75,7 @@
     private val loop = ReducerLoop(
         reducer = reducer,
         initialState = reducer.initial(
-            self = RouterInfo(self, settings.peerAddress, settings.zone, settings.region),
+            self = RouterInfo(self, peerSockets.address, settings.zone, settings.region),
             now = MonotonicClock.now(),
             epochSeconds = MonotonicClock.epochSeconds(),
         ),
@@ -89,14 +92,14 @@
     private val callers = CallerServer(settings, eventLoops, exchanges::admit)
     private val peers = PeerLinks(
         self = self,
-        listenAddress = settings.peerAddress,
+        listener = peerSockets.connections,
         addressOf = { loop.state.view.routers[it]?.address },
         observer = metrics,
         receive = { from, message -> loop.submit(RouterEvent.PeerMessageReceived(from, message)) },
         unreachable = { loop.submit(RouterEvent.PeerUnreachable(it)) },
     )
     private val datagrams = PeerDatagrams(
-        listenAddress = settings.peerAddress,
+        socket = peerSockets.datagrams,
         observe = { sent, bytes -> metrics.controlBytes("membership", sent, bytes) },
         receive = { from, message -> loop.submit(RouterEvent.Membership(MembershipEvent.Received(from, message))) },
     )
@@ -122,14 +125,25 @@
     )
     private val operators = OperatorsServer(settings.operatorsAddress, eventLoops, operatorsApi::answer)
 
+    /** The address for other routers, with the port in use. */
+    val peerAddress: RouterAddress get() = peerSockets.address
+
+    /** The address for operators, with the port in use, once the process has started. */
+    lateinit var operatorsAddress: RouterAddress
+        private set
+
+    /** The address for callers, with the port in use, once the process has started. */
+    lateinit var callerAddress: RouterAddress
+        private set
+
     /** Starts everything; fails with an exception when an address is taken. */
     fun start() {
         registerGauges()
         loop.start()
         peers.start()
         datagrams.start()
-        operators.start()
-        callers.start()
+        operatorsAddress = operators.start()
+        callerAddress = callers.start()
         background.scheduleWithFixedDelay(
             ::readLoads,
             LOAD_INTERVAL_MILLISECONDS,
@@ -138,8 +152,9 @@
         )
         LogEvents.info("router-started") {
             "router" to self
-            "callers" to settings.callerAddress
-            "operators" to settings.operatorsAddress
+            "callers" to callerAddress
+            "operators" to operatorsAddress
+            "peers" to peerAddress
             "zone" to settings.zone
         }
     }
@@ -166,6 +181,7 @@
         loop.close()
         peers.close()
         datagrams.close()
+        peerSockets.close()
         tracing.close()
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
         stopped.countDown()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.timeout.IdleStateHandler
 import io.netty.util.concurrent.GlobalEventExecutor
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.router.settings.RouterSettings
 
 /**
@@ -37,9 +39,9 @@
     /** The callers' open connections. */
     val openConnections: Int get() = connections.get()
 
-    /** Starts to listen; fails with an exception when the address is taken. */
-    fun start() {
-        listener = ServerBootstrap()
+    /** Starts to listen and returns the address in use; fails with an exception when the address is taken. */
+    fun start(): RouterAddress {
+        val channel = ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -53,6 +55,8 @@
             .bind(settings.callerAddress.host, settings.callerAddress.port)
             .sync()
             .channel()
+        listener = channel
+        return RouterAddress(settings.callerAddress.host, (channel.localAddress() as InetSocketAddress).port)
     }
 
     /** Answers from now on tell callers to close their connections. */
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsServer.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.QueryStringDecoder
+import java.net.InetSocketAddress
 import org.cicadaarch.model.RouterAddress
 
 /**
@@ -30,9 +31,9 @@
 ) : AutoCloseable {
     private var listener: Channel? = null
 
-    /** Starts to listen; fails with an exception when the address is taken. */
-    fun start() {
-        listener = ServerBootstrap()
+    /** Starts to listen and returns the address in use; fails with an exception when the address is taken. */
+    fun start(): RouterAddress {
+        val channel = ServerBootstrap()
             .group(eventLoops)
             .channel(NioServerSocketChannel::class.java)
             .childHandler(
@@ -48,6 +49,8 @@
             .bind(address.host, address.port)
             .sync()
             .channel()
+        listener = channel
+        return RouterAddress(address.host, (channel.localAddress() as InetSocketAddress).port)
     }
 
     override fun close() {
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerDatagrams.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerDatagrams.kt
@@ -1,17 +1,14 @@
 package org.cicadaarch.router.peer
 
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.BoundDatagramSocket
 import io.ktor.network.sockets.Datagram
 import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 import org.cicadaarch.logging.LogEvents
@@ -23,21 +20,17 @@
  * The UDP socket for probes between routers. Datagrams may be lost; what is not a message is dropped.
  */
 class PeerDatagrams(
-    private val listenAddress: RouterAddress,
+    private val socket: BoundDatagramSocket,
     private val observe: (sent: Boolean, bytes: Int) -> Unit,
     private val receive: (RouterAddress, MembershipMessage) -> Unit,
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val outgoing = Channel<Datagram>(QUEUE_CAPACITY)
 
-    /** Starts to receive and send; fails with an exception when the address is taken. */
+    /** Starts to receive and send. */
     fun start() {
-        val socket = runBlocking {
-            aSocket(selector).udp().bind(InetSocketAddress(listenAddress.host, listenAddress.port))
-        }
-        scope.launch { receiveAll(socket) }
-        scope.launch { sendAll(socket) }
+        scope.launch { receiveAll() }
+        scope.launch { sendAll() }
     }
 
     /** Sends [message] to the router at [to], or drops it when the socket is busy. */
@@ -49,17 +42,16 @@
 
     override fun close() {
         scope.cancel()
-        selector.close()
     }
 
-    private suspend fun sendAll(socket: BoundDatagramSocket) {
+    private suspend fun sendAll() {
         for (datagram in outgoing) {
             runCatching { socket.send(datagram) }
                 .onFailure { LogEvents.info("datagram-not-sent") { "cause" to it.message } }
         }
     }
 
-    private suspend fun receiveAll(socket: BoundDatagramSocket) {
+    private suspend fun receiveAll() {
         for (datagram in socket.incoming) {
             val from = datagram.address as? InetSocketAddress ?: continue
             val bytes = datagram.packet.readByteArray()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/peer/PeerLinks.kt
@@ -1,9 +1,8 @@
 package org.cicadaarch.router.peer
 
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.readFully
@@ -17,7 +16,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import org.cicadaarch.core.PeerMessage
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
@@ -32,7 +30,7 @@
  */
 class PeerLinks(
     private val self: RouterId,
-    private val listenAddress: RouterAddress,
+    private val listener: ServerSocket,
     private val addressOf: (RouterId) -> RouterAddress?,
     private val observer: PeerObserver,
     private val receive: (RouterId, PeerMessage) -> Unit,
@@ -42,13 +40,8 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val links = ConcurrentHashMap<RouterId, PeerLink>()
 
-    /** Starts to listen; fails with an exception when the address is taken. */
+    /** Starts to accept connections. */
     fun start() {
-        val listener = runBlocking {
-            aSocket(selector).tcp().bind(InetSocketAddress(listenAddress.host, listenAddress.port)) {
-                reuseAddress = true
-            }
-        }
         scope.launch {
             while (true) {
                 val socket = listener.accept()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
@@ -33,9 +33,9 @@
 
         fun settings(): Either<List<String>, RouterSettings> {
             val settings = RouterSettings(
-                callerAddress = address(CALLER_ADDRESS),
-                operatorsAddress = address(OPERATORS_ADDRESS),
-                peerAddress = address(PEER_ADDRESS),
+                callerAddress = address(CALLER_ADDRESS, minPort = 0),
+                operatorsAddress = address(OPERATORS_ADDRESS, minPort = 0),
+                peerAddress = address(PEER_ADDRESS, minPort = 0),
                 zone = ZoneName(text(ZONE)),
                 region = RegionName(text(REGION)),
                 storeAddress = address(STORE),
@@ -53,13 +53,13 @@
         private fun text(option: SettingOption): String =
             values[option]?.takeIf { it.isNotBlank() } ?: wrong(option, "a name is required", "")
 
-        private fun address(option: SettingOption): RouterAddress {
+        private fun address(option: SettingOption, minPort: Int = 1): RouterAddress {
             val parts = values[option].orEmpty().split(':')
             val port = parts.getOrNull(1)?.toIntOrNull()
-            return if (parts.size == 2 && parts[0].isNotBlank() && port in 1..MOST_PORT) {
+            return if (parts.size == 2 && parts[0].isNotBlank() && port in minPort..MOST_PORT) {
                 RouterAddress(parts[0], checkNotNull(port))
             } else {
-                wrong(option, "allowed is host:port with a port from 1 to $MOST_PORT", RouterAddress("", 0))
+                wrong(option, "allowed is host:port with a port from $minPort to $MOST_PORT", RouterAddress("", 0))
             }
         }
 
@@ -84,9 +84,9 @@
         private const val MOST_HEAD_BYTES = 1_048_576
         private const val MOST_BODY_BYTES = 268_435_456
 
-        private val CALLER_ADDRESS = SettingOption("caller-address", "where callers connect, host:port")
-        private val OPERATORS_ADDRESS = SettingOption("operators-address", "where operators connect, host:port")
-        private val PEER_ADDRESS = SettingOption("peer-address", "where other routers connect, host:port")
+        private val CALLER_ADDRESS = SettingOption("caller-address", "where callers connect, host:port; port 0: any free one")
+        private val OPERATORS_ADDRESS = SettingOption("operators-address", "where operators connect, host:port; port 0: any free one")
+        private val PEER_ADDRESS = SettingOption("peer-address", "where other routers connect, host:port; port 0: any free one")
         private val ZONE = SettingOption("zone", "this VM's availability zone")
         private val REGION = SettingOption("region", "this VM's region")
         private val STORE = SettingOption("store", "the platform's key-value service, host:port")
--- a/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
+++ b/cicadaarch-router/src/test/kotlin/org/cicadaarch/router/RouterFixture.kt
@@ -5,16 +5,13 @@
 import ch.qos.logback.core.read.ListAppender
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import java.net.DatagramSocket
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -57,9 +54,9 @@
     private val relay = CountingRelay(engine.port)
     private val log = ListAppender<ILoggingEvent>()
     private val settings = RouterSettings(
-        callerAddress = loopback(freePort()),
-        operatorsAddress = loopback(freePort()),
-        peerAddress = loopback(freePort()),
+        callerAddress = loopback(ANY_PORT),
+        operatorsAddress = loopback(ANY_PORT),
+        peerAddress = loopback(ANY_PORT),
         zone = ZONE,
         region = REGION,
         storeAddress = loopback(store.port),
@@ -74,7 +71,7 @@
     private val router = RouterProcess(settings)
 
     /** The port for other routers. */
-    val peerPort: Int get() = settings.peerAddress.port
+    val peerPort: Int get() = router.peerAddress.port
 
     /** The bytes that the router has taken from the engine. */
     val bytesFromEngine: Long get() = relay.bytes
@@ -85,7 +82,7 @@
     init {
         rootLogger().addAppender(log.apply { start() })
         writeFleet()
-        val entry = """[{"address":"${settings.peerAddress}","zone":"$ZONE","state":"live"}]"""
+        val entry = """[{"address":"${router.peerAddress}","zone":"$ZONE","state":"live"}]"""
         send(HttpRequest.newBuilder(uri(virtualMachines.port, "/vms")).PUT(HttpRequest.BodyPublishers.ofString(entry)))
         router.start()
         Conditions.await("the router is ready") { isReady() }
@@ -95,16 +92,16 @@
 
     /** A new connection of a caller. */
     fun connect(receiveBufferBytes: Int? = null): RawConnection =
-        RawConnection(settings.callerAddress.port, receiveBufferBytes)
+        RawConnection(router.callerAddress.port, receiveBufferBytes)
 
     /** What the engine says that it ran, in JSON. */
     fun engineRuns(): String = send(HttpRequest.newBuilder(uri(engine.port, "/ran"))).body()
 
     /** The router's metrics as text. */
-    fun metrics(): String = send(HttpRequest.newBuilder(uri(settings.operatorsAddress.port, "/metrics"))).body()
+    fun metrics(): String = send(HttpRequest.newBuilder(uri(router.operatorsAddress.port, "/metrics"))).body()
 
     /** Whether the router calls itself ready. */
-    fun isReady(): Boolean = send(HttpRequest.newBuilder(uri(settings.operatorsAddress.port, "/ready")))
+    fun isReady(): Boolean = send(HttpRequest.newBuilder(uri(router.operatorsAddress.port, "/ready")))
         .statusCode() == 200
 
     override fun close() {
@@ -162,8 +159,9 @@
         const val MAXIMUM_BODY_BYTES: Int = 65_536
 
         private const val HOST = "127.0.0.1"
-        private const val FIRST_PORT = 20_000
-        private const val LAST_PORT = 32_000
+
+        /** The system picks the port. */
+        private const val ANY_PORT = 0
         private const val FLEET_KEY = "cicadaarch/fleet"
         private val ZONE = ZoneName("zone")
         private val REGION = RegionName("region")
@@ -182,15 +180,6 @@
 
         private fun loopback(port: Int): RouterAddress = RouterAddress(HOST, port)
 
-        /** Below the ports that outgoing connections take, one of which could be taken before the router binds it. */
-        private fun freePort(): Int = generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }.first { port ->
-            val address = InetSocketAddress(HOST, port)
-            runCatching {
-                ServerSocket().use { it.bind(address) }
-                DatagramSocket(address).close()
-            }.isSuccess
-        }
-
         private fun rootLogger(): Logger = LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME) as Logger
     }
 }
