Reject odd values before they are parsed, and follow the list past them

What was reported by other operators: after one odd entry among those of the targets, the machines that read the list ended again and again, or followed it no longer.

Cause: decoders caught IllegalArgumentException only. A value of deeply nested lists overflows the stack in the JSON library; the error ended the handling of the watch's response, so no further call was sent.

Change: UntrustedJson is the one entry to decode what others wrote; it limits length and nesting before parsing and returns an error for anything else.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -19,11 +19,15 @@
  * A store outage by itself removes no value. A value that disappeared during an outage is kept for
  * [removalGracePeriod] after the store has recovered, as its owner may be about to write it again. Failures that last
  * less than [minOutage] are no outage: no value expires in so short a time, so a missing one was removed by its owner.
+ *
+ * A value of more than [maxValueLength] characters, which only a faulty writer stores, is replaced by an empty one, so
+ * that such values neither fill the memory nor the updates for other routers.
  */
 class WatchReducer(
     private val prefix: String,
     private val removalGracePeriod: Duration,
     private val minOutage: Duration,
+    private val maxValueLength: Int = Int.MAX_VALUE,
 ) {
     /** The state and the effects after [event] at [now]. */
     fun reduce(state: WatchState, event: WatchEvent, now: Timestamp): Step<WatchState, WatchEffect> = when (event) {
@@ -169,7 +173,7 @@
         page: StoreResult.Values,
         now: Timestamp,
     ): Step<WatchState, WatchEffect> {
-        val valuesRead = phase.valuesRead + page.values.mapNotNull { item -> item.value?.let { item.key to it } }
+        val valuesRead = phase.valuesRead + page.values.mapNotNull { item -> acceptedValue(item)?.let { item.key to it } }
         val revision = phase.revision ?: page.revision
         val lastKey = page.values.lastOrNull()?.key
         if (page.hasMore && lastKey != null) {
@@ -190,7 +194,7 @@
         var changeLog = state.changeLog
         val changes = result.values.filter { it.revision > state.revision }.sortedBy { it.revision }
         changes.forEach { item: StoredValue ->
-            val value = item.value
+            val value = acceptedValue(item)
             if (value == null) values.remove(item.key) else values[item.key] = value
             changeLog = if (value == null) {
                 changeLog.withRemoval(item.key, item.revision)
@@ -225,6 +229,9 @@
         return sendCall(state, Phase.Watching, StoreCommand.AwaitChange(prefix, state.revision, timeout))
     }
 
+    private fun acceptedValue(item: StoredValue): String? =
+        item.value?.let { if (it.length > maxValueLength) "" else it }
+
     private fun readPage(fromKey: String) = StoreCommand.ReadPrefix(prefix = prefix, from = fromKey, limit = PAGE_SIZE)
 
     private fun sendCall(state: WatchState, phase: Phase, command: StoreCommand): Step<WatchState, WatchEffect> {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
@@ -14,18 +14,19 @@
 
 /**
  * Watches the store's values under [prefix] and passes them to [onValues] after each change. All functions must be
- * called in tasks of [scheduler]. The [WatchReducer] explains the grace period for removed values and the minimum
- * outage.
+ * called in tasks of [scheduler]. The [WatchReducer] explains the grace period for removed values, the minimum outage
+ * and the maximum length of values.
  */
 internal class PrefixWatcher(
     private val prefix: String,
     removalGracePeriod: Duration,
     minOutage: Duration,
+    maxValueLength: Int,
     private val store: Store,
     private val scheduler: TaskScheduler,
     private val onValues: (Map<String, String>) -> Unit,
 ) {
-    private val reducer = WatchReducer(prefix, removalGracePeriod, minOutage)
+    private val reducer = WatchReducer(prefix, removalGracePeriod, minOutage, maxValueLength)
 
     /** The known values and the progress of the watch. */
     var state = WatchState()
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/format/FleetFormat.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/format/FleetFormat.kt
@@ -18,6 +18,9 @@
     /** Prefix of the targets' keys; each target has one. */
     val targetPrefix: String
 
+    /** The most characters that the entry of a target may have. */
+    val maxTargetLength: Int
+
     /** Parses a configuration. */
     fun parseRoutingTable(value: String): Either<String, RoutingTable>
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -13,6 +13,7 @@
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.store.HttpOutcome
+import org.cicadaarch.store.UntrustedJson
 
 /**
  * Exchanges store contents with other routers, so that few routers watch the store on behalf of all, and a router that
@@ -135,12 +136,17 @@
         return if (response.isWatchingStore) PollResult.WATCHING else PollResult.NOT_WATCHING
     }
 
-    private fun decode(peer: RouterAddress, body: String): PeerResponse? = try {
-        Json.decodeFromString<PeerResponse>(body)
-    } catch (exception: IllegalArgumentException) {
-        LogEvents.error("peer-answer-unreadable", exception) { "peer" to peer }
-        null
-    }
+    private fun decode(peer: RouterAddress, body: String): PeerResponse? =
+        UntrustedJson.decode(body) { Json.decodeFromString<PeerResponse>(it) }.fold(
+            ifLeft = { error ->
+                LogEvents.warn("peer-answer-unreadable") {
+                    "peer" to peer
+                    "error" to error
+                }
+                null
+            },
+            ifRight = { it },
+        )
 
     private enum class PollResult { WATCHING, NOT_WATCHING, FAILED }
 
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
@@ -69,7 +69,7 @@
         removalGracePeriod: Duration,
         minOutage: Duration,
         onValues: (Map<String, String>) -> Unit,
-    ) = PrefixWatcher(prefix, removalGracePeriod, minOutage, storeClient, time, onValues)
+    ) = PrefixWatcher(prefix, removalGracePeriod, minOutage, Int.MAX_VALUE, storeClient, time, onValues)
 
     companion object {
         const val CONFIGURATION_PREFIX = "configuration/"
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerRequestParser.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerRequestParser.kt
@@ -34,6 +34,7 @@
 import org.cicadaarch.model.fleet.FleetDocument
 import org.cicadaarch.model.fleet.ServiceKind
 import org.cicadaarch.protocol.ClientHeaders
+import org.cicadaarch.store.JsonNesting
 
 /**
  * Turns a caller's HTTP request into a [CallerRequest]: chat completions by the model's name in the body, plain
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/EngineControl.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/EngineControl.kt
@@ -12,13 +12,14 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.orders.EngineState
 import org.cicadaarch.orders.OrderResult
 import org.cicadaarch.orders.OrdersEffect
 import org.cicadaarch.router.runtime.MonotonicClock
+import org.cicadaarch.store.UntrustedJson
 
 /**
  * Speaks to the control paths of engines: `/load`, `/state` and `/orders`.
@@ -56,11 +57,11 @@
         }
     }
 
-    private inline fun <reified T> parsed(answer: Pair<Int, String>?): T? = try {
-        answer?.takeIf { it.first in SUCCESS }?.let { json.decodeFromString<T>(it.second) }
-    } catch (_: SerializationException) {
-        null
-    }
+    private inline fun <reified T> parsed(answer: Pair<Int, String>?): T? = answer
+        ?.takeIf { it.first in SUCCESS }
+        ?.let { (_, body) -> UntrustedJson.decode(body) { json.decodeFromString<T>(it) } }
+        ?.onLeft { error -> LogEvents.warn("engine-answer-unreadable") { "error" to error } }
+        ?.getOrNull()
 
     private fun call(
         address: RouterAddress,
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdStore.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdStore.kt
@@ -138,15 +138,14 @@
         is HttpOutcome.TimedOut -> StoreResult.Unanswered("no response within $requestTimeout", isTimeout = true)
     }
 
-    private fun responseResult(response: HttpOutcome.Answered, decode: (String) -> StoreResult): StoreResult = try {
-        when (response.status) {
-            HttpResponseStatus.OK.code() -> decode(response.body)
-            in REJECTION_STATUSES -> rejectionResult(platformJson.decodeFromString(response.body))
-            else -> StoreResult.Unanswered("store responded with status ${response.status}: ${response.body}")
-        }
-    } catch (exception: IllegalArgumentException) {
-        StoreResult.Unanswered("malformed response: ${exception.message}")
-    }
+    private fun responseResult(response: HttpOutcome.Answered, decode: (String) -> StoreResult): StoreResult =
+        UntrustedJson.decode(response.body) { body ->
+            when (response.status) {
+                HttpResponseStatus.OK.code() -> decode(body)
+                in REJECTION_STATUSES -> rejectionResult(platformJson.decodeFromString(body))
+                else -> StoreResult.Unanswered("store responded with status ${response.status}: $body")
+            }
+        }.fold(ifLeft = { StoreResult.Unanswered("malformed response: $it") }, ifRight = { it })
 
     private fun rejectionResult(error: ErrorResponse): StoreResult =
         if (LEASE_NOT_FOUND in error.message) StoreResult.LeaseLost else StoreResult.Refused(error.message)
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
@@ -10,7 +10,6 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlinx.serialization.SerializationException
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
 
@@ -63,11 +62,10 @@
         val text = line.toString(Charsets.UTF_8)
         line.reset()
         if (text.isBlank()) return
-        try {
-            handleMessage(context, platformJson.decodeFromString(text))
-        } catch (exception: SerializationException) {
-            end(context, StoreResult.Unanswered("malformed watch message: ${exception.message}"))
-        }
+        UntrustedJson.decode(text) { platformJson.decodeFromString<WatchMessage>(it) }.fold(
+            ifLeft = { end(context, StoreResult.Unanswered("malformed watch message: $it")) },
+            ifRight = { handleMessage(context, it) },
+        )
     }
 
     private fun handleMessage(context: ChannelHandlerContext, message: WatchMessage) {
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpVirtualMachineList.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpVirtualMachineList.kt
@@ -34,13 +34,11 @@
     private fun parse(response: HttpOutcome.Answered): Either<PlatformError, List<VirtualMachine>> =
         when (response.status) {
             HttpResponseStatus.OK.code() ->
-                Either
-                    .catchOrThrow<IllegalArgumentException, _> {
-                        platformJson.decodeFromString<List<VirtualMachineEntry>>(response.body).map {
-                            it.toVirtualMachine()
-                        }
+                UntrustedJson
+                    .decode(response.body) { text ->
+                        platformJson.decodeFromString<List<VirtualMachineEntry>>(text).map { it.toVirtualMachine() }
                     }
-                    .mapLeft { PlatformError.Malformed(it.message.orEmpty()) }
+                    .mapLeft { PlatformError.Malformed(it) }
 
             else -> PlatformError.Malformed("unexpected status ${response.status}").left()
         }
