Send a request only after a look at what its client sent since

Cause: a decision of one turn of the event loop was carried out in a later one without a look at what had arrived since: when the connection to a target and the close of the client were ready in the same turn, the connection came first.

Change: with the connection in hand, an attempt waits until the event loop has polled all connections once more. The time left is computed then, and a connection that is not needed any more goes back to the pool.

Ruled out: reading turned off at that client; nothing does that.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -17,7 +17,7 @@
 
 /**
  * What a [ForwardingExchange] needs besides the client request, and where it reports progress: metrics, the log and the
- * dispatch reducer.
+ * dispatch reducer. [afterNextRead] runs a task after the event loop has handled everything that connections have received by now.
  */
 internal class ExchangeContext(
     val dispatchRequest: DispatchRequest,
@@ -30,6 +30,7 @@
     val responseMemory: ResponseMemory,
     private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
+    val afterNextRead: (() -> Unit) -> Unit,
     private val onEnd: (ForwardingExchange) -> Unit,
     private val exchange: ForwardingExchange,
 ) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -148,6 +148,7 @@
             responseMemory = responseMemory,
             metrics = metrics,
             submit = ::submit,
+            afterNextRead = ::afterNextRead,
             onEnd = ::ended,
             exchange = exchange,
         )
@@ -237,6 +238,14 @@
         }
     }
 
+    /**
+     * Each turn of the event loop polls all connections, then runs the tasks that are due. A task that is scheduled by
+     * another one is due in the next turn.
+     */
+    private fun afterNextRead(task: () -> Unit) = eventLoop.execute {
+        eventLoop.schedule(task, 0, TimeUnit.NANOSECONDS)
+    }
+
     private fun scheduleTick() {
         val next = reducer.nextTick(state) ?: return
         val scheduledAt = tickAt
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -134,14 +134,29 @@
         private var body: ByteBuf = Unpooled.buffer(0)
         private var heldBytes = 0
         private var lastProgressAt: Timestamp = NanoTimeClock.now()
+        private val deadline: Timestamp = NanoTimeClock.now() + effect.timeLeft
 
-        fun onConnected(opened: TargetConnection) {
-            if (isFinished) {
-                opened.close()
-                return
+        /**
+         * Sends the request on [opened], unless the client has left. Its close may wait unread behind its request, or
+         * have arrived while the event loop was busy.
+         */
+        fun onConnected(opened: TargetConnection) = context.afterNextRead { sendUnlessFinished(opened) }
+
+        private fun sendUnlessFinished(opened: TargetConnection) {
+            val timeLeft = deadline - NanoTimeClock.now()
+            when {
+                isFinished -> context.connectionPool.release(opened)
+
+                !timeLeft.isPositive() -> {
+                    context.connectionPool.release(opened)
+                    finish(AttemptResult.NotStarted("time-over", reachedTarget = false, isTargetAtFault = false))
+                }
+
+                else -> {
+                    connection = opened
+                    opened.send(targetRequest(timeLeft), context.requestId, this)
+                }
             }
-            connection = opened
-            opened.send(targetRequest(), context.requestId, this)
         }
 
         fun onConnectFailed(reason: String) {
@@ -288,7 +303,7 @@
             heldBytes = 0
         }
 
-        private fun targetRequest(): DefaultFullHttpRequest {
+        private fun targetRequest(timeLeft: Duration): DefaultFullHttpRequest {
             val headers = request.headers.copy()
             HopByHopHeaders.removeFrom(headers)
             context.format.writeAttempt(
@@ -296,7 +311,7 @@
                 AttemptMetadata(
                     target = target,
                     account = context.account?.id,
-                    timeLeft = effect.timeLeft,
+                    timeLeft = timeLeft,
                     priority = context.dispatchRequest.priority,
                     lastEventId = lastEventId ?: context.requestedLastEventId,
                     cacheSource = effect.cacheSource?.let { RouterAddress(it.host, it.port) },
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -45,6 +45,11 @@
         if (pooled != null) onConnection(pooled) else connect(key, onConnection, onFailure)
     }
 
+    /** Takes back [connection], which carries no attempt. */
+    fun release(connection: TargetConnection) {
+        idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
+    }
+
     /** Closes the idle connections to targets that are not in [present]. */
     fun closeAllExcept(present: Set<TargetKey>) {
         (idle.keys - present).forEach { key -> idle.remove(key)?.toList()?.forEach { it.close() } }
@@ -79,9 +84,6 @@
             }
     }
 
-    private fun release(connection: TargetConnection) {
-        idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
-    }
 
     private fun remove(connection: TargetConnection) {
         idle[connection.key]?.remove(connection)
