Take a response that names no request as proof of nothing

What was reported by other operators: a faulty target wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that had run, or such a request ran at a second target.

Cause: a response without an id and with another status than 200 counted as the response to the current attempt, a refusal included.

Change: a refusal counts only if it names the attempt; without an id its outcome is unknown, and on a connection that carried an attempt before, the current one fails.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -21,8 +21,10 @@
 /**
  * A connection to a target that carries one attempt at a time.
  *
- * Responses to other requests than the current one are skipped, up to [MAX_SKIPPED_BYTES]. The connection is closed if
- * it receives bytes while it is idle, or if the response ends before the request was written in full.
+ * Responses to other requests than the current one are skipped, up to [MAX_SKIPPED_BYTES]. A response that names no
+ * request proves nothing: it is never taken as a refusal, and once the connection has carried another attempt, whose
+ * response it may repeat, the current one fails. The connection is closed if it receives bytes while it is idle, or if
+ * the response ends before the request was written in full.
  */
 internal class TargetConnection(
     val key: TargetKey,
@@ -33,6 +35,7 @@
     private lateinit var context: ChannelHandlerContext
     private var attempt: RunningAttempt? = null
     private var advertisedIdleTimeout: Duration? = null
+    private var hasCarriedAttempt = false
 
     /** When the last response ended, or else when the connection was created. */
     var idleSince: Timestamp = NanoTimeClock.now()
@@ -111,10 +114,17 @@
 
     private fun onResponseHead(running: RunningAttempt, response: HttpResponse) {
         val metadata = format.readResponse(response)
-        if (!isResponseTo(running, response, metadata)) {
-            running.phase = ResponsePhase.SKIPPING
-            return
+        when {
+            response.status().codeClass() == HttpStatusClass.INFORMATIONAL -> running.phase = ResponsePhase.SKIPPING
+            metadata.requestId == running.requestId -> readResponse(running, response, metadata)
+            metadata.requestId != null -> running.phase = ResponsePhase.SKIPPING
+            response.status() == HttpResponseStatus.OK -> running.phase = ResponsePhase.SKIPPING
+            hasCarriedAttempt -> fail("answer-without-id")
+            else -> readResponse(running, response, metadata.copy(isNotStarted = false))
         }
+    }
+
+    private fun readResponse(running: RunningAttempt, response: HttpResponse, metadata: ResponseMetadata) {
         running.phase = ResponsePhase.READING
         running.isReusable = HttpUtil.isKeepAlive(response) &&
             (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response))
@@ -122,12 +132,6 @@
         running.listener.onHead(response, metadata)
     }
 
-    private fun isResponseTo(running: RunningAttempt, response: HttpResponse, metadata: ResponseMetadata): Boolean {
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return false
-        val isWithoutId = metadata.requestId == null && response.status() != HttpResponseStatus.OK
-        return isWithoutId || metadata.requestId == running.requestId
-    }
-
     private fun onContent(part: HttpContent) {
         val running = attempt
         if (running == null || running.phase != ResponsePhase.READING) {
@@ -142,6 +146,7 @@
 
     private fun finish(running: RunningAttempt) {
         attempt = null
+        hasCarriedAttempt = true
         idleSince = NanoTimeClock.now()
         val isReusable = running.isReusable && running.written.isSuccess && context.channel().isActive
         running.listener.onComplete()
