Keep count of the attempts at a target that disappears and returns

What callers saw: nothing yet; found by reading. A target that disappeared from the store and returned as the same process started with no attempts in flight, and their ends then lowered the count of later ones, so that it got more than its slots. The end of an attempt at an earlier process under the same id did the same.

Change: an attempt knows the entry that it was sent to. A target that returns starts with the attempts at its process, and an end changes only that process.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -45,7 +45,7 @@
 
     fun attemptEnded(id: ExchangeId, attempt: Int, result: AttemptResult) {
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
-        updateTarget(inFlight.target) { withResult(it.withAttemptEnded(), result) }
+        updateTarget(inFlight) { withResult(it.withAttemptEnded(), result) }
         when (result) {
             is AttemptResult.Answered -> if (open.hasResponseStarted && !result.isDelivered) {
                 attemptBroken(open, "not-resumed")
@@ -79,12 +79,16 @@
         entries.forEach { entry ->
             val before = known[entry.id]
             val after = if (before != null && before.entry.isSameProcess(entry)) before.copy(entry = entry) else null
-            targets = targets.put(entry.id, after ?: TargetState(entry))
+            targets = targets.put(entry.id, after ?: TargetState(entry, inFlight = attemptsAt(entry)))
         }
         state = state.copy(targets = targets)
         sendQueued()
     }
 
+    /** The number of attempts in flight at the process with [entry], which may have been known before. */
+    private fun attemptsAt(entry: TargetEntry): Int =
+        state.requests.values.count { (it.phase as? InFlight)?.entry?.isSameProcess(entry) == true }
+
     fun tick() {
         state.requests.values.filter { RequestTimers.nextTimeout(it) <= now }.forEach { open ->
             when (val phase = open.phase) {
@@ -108,7 +112,7 @@
             return
         }
         cancelAttempt(open)
-        updateTarget(phase.target) { it.withFailure(now) }
+        updateTarget(phase) { it.withFailure(now) }
         send(open, alternative)
     }
 
@@ -179,7 +183,7 @@
         val attempt = open.attempts + 1
         putRequest(
             open.copy(
-                phase = InFlight(target = id, sentAt = now),
+                phase = InFlight(target.entry, sentAt = now),
                 attempts = attempt,
                 possibleRuns = open.possibleRuns + 1,
                 triedTargets = open.triedTargets + id,
@@ -209,7 +213,7 @@
 
     private fun cancelAttempt(open: OpenRequest) {
         val inFlight = open.phase as? InFlight ?: return
-        updateTarget(inFlight.target) { it.withAttemptEnded() }
+        updateTarget(inFlight) { it.withAttemptEnded() }
         effects += DispatchEffect.Cancel(open.request.id, open.attempts)
     }
 
@@ -251,6 +255,12 @@
         return true
     }
 
+    /** Changes the target of an attempt, unless another process runs under its id by now. */
+    private fun updateTarget(inFlight: InFlight, change: (TargetState) -> TargetState) {
+        val isSameProcess = state.targets[inFlight.target]?.entry?.isSameProcess(inFlight.entry) == true
+        if (isSameProcess) updateTarget(inFlight.target, change)
+    }
+
     private fun updateTarget(id: TargetId, change: (TargetState) -> TargetState) {
         val target = state.targets[id] ?: return
         val changed = change(target)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.dispatch.request
 
+import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 
@@ -27,9 +28,12 @@
         data class Queued(val since: Timestamp) : Phase()
 
         /**
-         * In flight at [target] since [sentAt]. If [isFinal], the attempt may take until the deadline, else a slow one
-         * may be replaced by an attempt on another target.
+         * In flight since [sentAt] at the target with [entry]. If [isFinal], the attempt may take until the deadline,
+         * else a slow one may be replaced by an attempt on another target.
          */
-        data class InFlight(val target: TargetId, val sentAt: Timestamp, val isFinal: Boolean = false) : Phase()
+        data class InFlight(val entry: TargetEntry, val sentAt: Timestamp, val isFinal: Boolean = false) : Phase() {
+            /** The target's id. */
+            val target: TargetId get() = entry.id
+        }
     }
 }
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
@@ -61,6 +61,35 @@
         assertIs<RequestFailure.MayHaveRun>(fixture.lastFailure)
     }
 
+    /** Guards against a target that gets too much, as its attempts in flight are forgotten. */
+    @Test
+    fun `Given attempts in flight, when their target disappears and returns, then they still count`() {
+        val fixture = DispatchFixture(listOf(target("a", slots = 50)))
+        val sends = List(3) {
+            fixture.receive(route(RetryPolicy.AT_MOST_ONCE))
+            fixture.lastSend
+        }
+        fixture.submit(DispatchEvent.TargetsChanged(emptyList()))
+        fixture.submit(DispatchEvent.TargetsChanged(listOf(target("a", slots = 50))))
+        assertEquals(3, fixture.state.targets.values.single().inFlight)
+        fixture.endAttempt(sends.first(), AttemptResult.Answered(status = 200, isDelivered = true))
+        assertEquals(2, fixture.state.targets.values.single().inFlight)
+    }
+
+    /** Guards against a target that gets too much, as attempts of its predecessor end. */
+    @Test
+    fun `Given an attempt in flight, when another process starts under the id, then the attempt's end is not its own`() {
+        val fixture = DispatchFixture(listOf(target("a", slots = 50)))
+        fixture.receive(route(RetryPolicy.AT_MOST_ONCE))
+        val old = fixture.lastSend
+        fixture.submit(DispatchEvent.TargetsChanged(listOf(target("a", slots = 50, startedAtMillis = 2))))
+        fixture.receive(route(RetryPolicy.AT_MOST_ONCE))
+        assertEquals(1, fixture.state.targets.values.single().inFlight)
+        fixture.endAttempt(old, broken)
+        val target = fixture.state.targets.values.single()
+        assertEquals(listOf<Any?>(1, 0), listOf(target.inFlight, target.failures))
+    }
+
     @Test
     fun `Given an exhausted retry budget, when an attempt breaks, then it is not retried`() {
         val fixture = DispatchFixture(listOf(target("a", slots = 50), target("b", slots = 50)), retrySlack = 1.0)
