Give up in time when links to targets are cut

Cause: the time for a connect was one constant, and up to four were tried, whatever the latency objective.

Change: a connect may take a quarter of the route's latency objective, 50 to 300 ms, and none is tried after half of it: the refusal, which is true, leaves the client the time to reach another router.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -10,7 +10,7 @@
 sealed class DispatchEffect {
     /**
      * Send the request to [target], which has [timeLeft] to respond and may copy the cache of the prompt from
-     * [cacheSource]. [estimatedLoad] is the load of [target] at its selection, by a report of age [loadReportAge], null
+     * [cacheSource]. A new connection must be established within [connectTimeout]. [estimatedLoad] is the load of [target] at its selection, by a report of age [loadReportAge], null
      * if there is none.
      */
     data class Send(
@@ -18,6 +18,7 @@
         val attempt: Int,
         val target: TargetEntry,
         val timeLeft: Duration,
+        val connectTimeout: Duration,
         val estimatedLoad: Double,
         val loadReportAge: Duration? = null,
         val cacheSource: TargetEntry? = null,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -132,7 +132,8 @@
 
     private fun attemptNotStarted(open: OpenRequest, result: AttemptResult.NotStarted) {
         val updated = open.copy(possibleRuns = open.possibleRuns - 1)
-        val mayRetry = open.attempts < MAX_ATTEMPTS && hasTimeForRetry(open)
+        val mayRetry = open.attempts < MAX_ATTEMPTS && hasTimeForRetry(open) &&
+            (result.reachedTarget || RequestTimers.mayConnectAgain(open, now))
         val alternative = if (mayRetry) findAlternative(updated, updated.triedTargets) else null
         when {
             alternative != null && (!result.reachedTarget || takeRetry(open.request.service)) ->
@@ -195,6 +196,7 @@
             attempt = attempt,
             target = target.entry,
             timeLeft = open.deadline - now,
+            connectTimeout = RequestTimers.connectTimeout(open),
             estimatedLoad = target.load(now),
             loadReportAge = target.reportedAt?.let { now - it },
             cacheSource = open.request.promptKey?.let { recordPromptSent(open.request.service, it, id) },
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
@@ -21,6 +21,14 @@
     private const val ATTEMPT_TIMEOUT_FRACTION = 0.7
     private val MIN_ATTEMPT_TIMEOUT = 50.milliseconds
 
+    /**
+     * Fractions of the latency objective within which a connection to a target must be established, and after which no
+     * further one is tried: the client then still has time to reach another router.
+     */
+    private const val CONNECT_TIMEOUT_FRACTION = 0.25
+    private const val CONNECT_TRIES_FRACTION = 0.5
+    private val CONNECT_TIMEOUTS = 50.milliseconds..300.milliseconds
+
     /** When the next timeout of [open] expires. */
     fun nextTimeout(open: OpenRequest): Timestamp = when (val phase = open.phase) {
         is Queued -> minOf(open.deadline, queueTimeoutAt(open, phase))
@@ -42,6 +50,14 @@
         return if (isAllowed) phase.sentAt + attemptTimeout(route.latencyObjective) else null
     }
 
+    /** How long a connection to a target may take. A lost packet takes longer, so another target is the better choice. */
+    fun connectTimeout(open: OpenRequest): Duration =
+        (open.request.route.latencyObjective * CONNECT_TIMEOUT_FRACTION).coerceIn(CONNECT_TIMEOUTS)
+
+    /** Whether [open], which has reached no target by [now], may still try to connect to another one. */
+    fun mayConnectAgain(open: OpenRequest, now: Timestamp): Boolean =
+        now - open.arrivedAt < open.request.route.latencyObjective * CONNECT_TRIES_FRACTION
+
     private fun attemptTimeout(latencyObjective: Duration): Duration =
         maxOf(MIN_ATTEMPT_TIMEOUT, latencyObjective * ATTEMPT_TIMEOUT_FRACTION)
 }
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
@@ -90,6 +90,22 @@
         assertEquals(listOf<Any?>(1, 0), listOf(target.inFlight, target.failures))
     }
 
+    /** Guards against requests that a router holds although its links to all targets are cut. */
+    @Test
+    fun `Given links cut to all targets, when connects time out, then the client learns it in time to go elsewhere`() {
+        val fixture = DispatchFixture(List(8) { target("t$it") })
+        val route = route(RetryPolicy.AT_MOST_ONCE)
+        fixture.receive(route)
+        val receivedAt = fixture.now
+        while (fixture.effects.none { it is DispatchEffect.Fail }) {
+            val send = fixture.lastSend
+            fixture.advance(send.connectTimeout)
+            fixture.endAttempt(send, unreachable)
+        }
+        assertIs<RequestFailure.NotRun>(fixture.lastFailure)
+        assertTrue(fixture.now - receivedAt <= route.latencyObjective, "held for ${fixture.now - receivedAt}")
+    }
+
     @Test
     fun `Given an exhausted retry budget, when an attempt breaks, then it is not retried`() {
         val fixture = DispatchFixture(listOf(target("a", slots = 50), target("b", slots = 50)), retrySlack = 1.0)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -56,6 +56,7 @@
         context.connectionPool.acquire(
             key = TargetKey.of(effect.target),
             requireFresh = context.dispatchRequest.route.retryPolicy == RetryPolicy.AT_MOST_ONCE,
+            connectTimeout = effect.connectTimeout,
             onConnection = next::onConnected,
             onFailure = next::onConnectFailed,
         )
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 import org.cicadaarch.forwarding.NanoTimeClock
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.store.KeepAliveProbes
@@ -32,17 +32,19 @@
     }
 
     /**
-     * Passes a pooled or new connection to [onConnection], or the reason why there is none to [onFailure]. With
-     * [requireFresh], reuses only a connection that the target has certainly not closed.
+     * Passes a pooled or new connection to [onConnection], or the reason why there is none to [onFailure]. A new one
+     * must be established within [connectTimeout]. With [requireFresh], reuses only a connection that the target has
+     * certainly not closed.
      */
     fun acquire(
         key: TargetKey,
         requireFresh: Boolean,
+        connectTimeout: Duration,
         onConnection: (TargetConnection) -> Unit,
         onFailure: (String) -> Unit,
     ) {
         val pooled = takePooled(key, if (requireFresh) FRESH_IDLE_FRACTION else USABLE_IDLE_FRACTION)
-        if (pooled != null) onConnection(pooled) else connect(key, onConnection, onFailure)
+        if (pooled != null) onConnection(pooled) else connect(key, connectTimeout, onConnection, onFailure)
     }
 
     /** Takes back [connection], which carries no attempt. */
@@ -66,13 +68,18 @@
         }
     }
 
-    private fun connect(key: TargetKey, onConnection: (TargetConnection) -> Unit, onFailure: (String) -> Unit) {
+    private fun connect(
+        key: TargetKey,
+        timeout: Duration,
+        onConnection: (TargetConnection) -> Unit,
+        onFailure: (String) -> Unit,
+    ) {
         val connection = TargetConnection(key, format, onIdle = ::release, onClosed = ::remove)
         Bootstrap()
             .group(eventLoop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt())
             .also { KeepAliveProbes.enable(it) }
             .handler(ConnectionInitializer(connection))
             .connect(InetSocketAddress(key.host, key.port))
@@ -107,7 +114,6 @@
     }
 
     private companion object {
-        val CONNECT_TIMEOUT = 300.milliseconds
         const val SWEEP_INTERVAL_MILLIS = 1_000L
 
         /**
