Read from a target again after a slow client

If the stream ends before the client catches up, the connection came back to the pool with reading off, and the next attempt on it got no response.

Change: reading is on again when a response has ended. Not shown by a test: the last event has to wait in the decoder while reading is off.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -149,6 +149,7 @@
         hasCarriedAttempt = true
         idleSince = NanoTimeClock.now()
         val isReusable = running.isReusable && running.written.isSuccess && context.channel().isActive
+        setAutoRead(true)
         running.listener.onComplete()
         if (isReusable) onIdle(this) else context.close()
     }
