--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -168,7 +168,7 @@
             request.headers().getAll(HttpHeaderNames.HOST).size != 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
 
             else -> {
-                incoming = IncomingRequest(request, Unpooled.buffer(length.toInt()))
+                incoming = IncomingRequest(request, Unpooled.buffer(minOf(length.toInt(), INITIAL_BODY_BYTES)))
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
             }
         }
@@ -208,5 +208,8 @@
 
     private companion object {
         const val MAX_PIPELINED_MESSAGES = 64
+
+        /** The buffer of a body grows as its bytes arrive: a client may state any length and send nothing. */
+        const val INITIAL_BODY_BYTES = 4 * 1024
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -24,7 +24,8 @@
 /**
  * An HTTP server at [address]; with port 0 the system picks a free port. [onRequest] is called with the path and query of each request and a function that sends
  * the reply, which it may call at once or later. Request bodies are ignored. Large replies are compressed for clients
- * that accept it.
+ * that accept it. A pipelined request waits until the one before it has its reply; a connection with more than
+ * [MAX_PIPELINED_REQUESTS] is closed.
  */
 internal class HttpEndpoint(
     private val address: RouterAddress,
@@ -65,14 +66,32 @@
     private fun compressor() = HttpContentCompressor(MIN_COMPRESSED_BYTES, StandardCompressionOptions.gzip())
 
     private inner class RequestHandler : SimpleChannelInboundHandler<HttpObject>() {
+        private val waiting = ArrayDeque<String>()
+        private var isBusy = false
+
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
             if (message.decoderResult().isFailure) {
                 context.close()
             } else if (message is HttpRequest) {
-                onRequest(message.uri()) { write(context, it) }
+                waiting.addLast(message.uri())
+                if (waiting.size > MAX_PIPELINED_REQUESTS) context.close() else handleNext(context)
+            }
+        }
+
+        private fun handleNext(context: ChannelHandlerContext) {
+            while (!isBusy) {
+                val uri = waiting.removeFirstOrNull() ?: return
+                isBusy = true
+                onRequest(uri) { reply -> finish(context, reply) }
             }
         }
 
+        private fun finish(context: ChannelHandlerContext, reply: HttpReply) {
+            write(context, reply)
+            isBusy = false
+            handleNext(context)
+        }
+
         @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             LogEvents.debug("endpoint-connection-failed") { "reason" to cause }
@@ -90,5 +109,6 @@
 
     private companion object {
         const val MIN_COMPRESSED_BYTES = 4_096
+        const val MAX_PIPELINED_REQUESTS = 16
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -12,7 +12,8 @@
 /**
  * Responds to the long polls of other routers: at once if this one has an update for the sender or does not watch the
  * store, otherwise soon after an update arrives or when the poll's waiting time is over. Updates in quick succession
- * are sent together, and senders with the same revisions share one serialized response.
+ * are sent together, and senders with the same revisions share one serialized response. Polls beyond
+ * [MAX_PENDING_POLLS] do not wait.
  */
 internal class PeerServer(
     private val scheduler: TaskScheduler,
@@ -39,7 +40,8 @@
         val revisions = parameters.mapNotNull { (key, value) -> value.toLongOrNull()?.let { key to it } }.toMap()
         val waitMillis = revisions[PeerQuery.WAIT]?.coerceIn(0, PeerQuery.MAX_WAIT.inWholeMilliseconds) ?: 0
         val poll = PeerPoll(revisions, respond)
-        if (waitMillis == 0L || hasUpdatesFor(poll) || !isWatchingStore()) return respondTo(poll, body(poll))
+        val mayWait = waitMillis > 0 && isWatchingStore() && pending.size < MAX_PENDING_POLLS
+        if (!mayWait || hasUpdatesFor(poll)) return respondTo(poll, body(poll))
         pending += poll
         scheduler.schedule(waitMillis.milliseconds) {
             if (pending.remove(poll)) respondTo(poll, body(poll))
@@ -94,6 +96,9 @@
 
     private companion object {
         const val MAX_LIVE_PEERS = PeerDirectory.MAX_CANDIDATES
+
+        /** Several for each router of a large fleet. */
+        const val MAX_PENDING_POLLS = 2_048
         val LIVE_PEERS_TTL = 500.milliseconds
         val BATCH_DELAY = 100.milliseconds
     }
