--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -63,12 +63,14 @@
 
     private fun byPrompt(targets: List<TargetState>, promptKey: String, now: Timestamp): TargetState? {
         val typicalOthers = typicalOthersInFlight(targets, now)
-        val meanLoad = targets.sumOf { it.usualLoad(typicalOthers, now) } / targets.size.coerceAtLeast(1)
+        val usualLoads = targets.map { it.usualLoad(typicalOthers, now) }
+        val meanLoad = usualLoads.sum() / targets.size.coerceAtLeast(1)
         val loadBound = (imbalanceFactor * meanLoad + LOAD_BOUND_SLACK) * LOAD_BOUND_FRACTION
-        val free = targets.filter { it.load(now) + 1 <= it.entry.slots }
-        return RendezvousHash.rank(key = promptKey, members = free, name = { it.entry.id.value })
-            .firstOrNull { it.usualLoad(typicalOthers, now) + 1 <= loadBound }
-            ?: free.minByOrNull { it.usualLoad(typicalOthers, now) }
+        val free = targets.indices.filter { targets[it].load(now) + 1 <= targets[it].entry.slots }
+        val belowBound = free.filter { usualLoads[it] + 1 <= loadBound }
+        val selected = RendezvousHash.first(key = promptKey, members = belowBound, name = { targets[it].entry.id.value })
+            ?: free.minByOrNull { usualLoads[it] }
+        return selected?.let { targets[it] }
     }
 
     /** The mean number of other routers' requests at a target, by the reports that still have a weight. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -1,7 +1,6 @@
 package org.cicadaarch.dispatch.target
 
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -36,8 +35,7 @@
 
     /** How far the target's reports still describe its usual load: from 1 for a new one to 0 if there is none. */
     fun reportWeight(now: Timestamp): Double {
-        val age = now - (reportedAt ?: return 0.0)
-        return (1.0 - age / USUAL_LOAD_LIFETIME).coerceIn(0.0, 1.0)
+        return remainingLife(reportedAt ?: return 0.0, now, USUAL_LOAD_LIFETIME_MILLIS)
     }
 
     /** Whether the target has sent nothing for [MAX_SILENCE] although attempts are in flight. */
@@ -80,10 +78,13 @@
     )
 
     private fun estimatedOthersInFlight(now: Timestamp): Double {
-        val age = now - (reportedAt ?: return 0.0)
-        return othersInFlight * (1.0 - age / LOAD_REPORT_LIFETIME).coerceIn(0.0, 1.0)
+        return othersInFlight * remainingLife(reportedAt ?: return 0.0, now, LOAD_REPORT_LIFETIME_MILLIS)
     }
 
+    /** Computed for every target at each selection, so without durations. */
+    private fun remainingLife(since: Timestamp, now: Timestamp, lifetimeMillis: Double): Double =
+        (1.0 - (now.milliseconds - since.milliseconds) / lifetimeMillis).coerceIn(0.0, 1.0)
+
     private companion object {
         val MAX_SILENCE = 600.milliseconds
         val BASE_EJECTION_TIME = 300.milliseconds
@@ -96,9 +97,9 @@
         const val MIN_REPORT_WEIGHT = 0.5
 
         /** The same prompts go to a target for many times the duration of a request. */
-        val USUAL_LOAD_LIFETIME = 15.seconds
+        const val USUAL_LOAD_LIFETIME_MILLIS = 15_000.0
 
         /** Most requests of other routers that were in flight at a load report have ended after this time. */
-        val LOAD_REPORT_LIFETIME = 1.seconds
+        const val LOAD_REPORT_LIFETIME_MILLIS = 1_000.0
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -1,6 +1,6 @@
 package org.cicadaarch.forwarding.exchange
 
-import java.util.Locale
+import kotlin.math.roundToInt
 import org.cicadaarch.dispatch.request.AttemptResult
 import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
@@ -54,7 +54,7 @@
             "request" to requestId
             "attempt" to send.attempt
             "target" to send.target.id
-            "load" to "%.1f".format(Locale.ROOT, send.estimatedLoad)
+            "load" to (send.estimatedLoad * TENTHS).roundToInt() / TENTHS
             "reportAge" to send.loadReportAge?.inWholeMilliseconds
             "slots" to send.target.slots
             "prompt" to dispatchRequest.promptKey
@@ -106,4 +106,8 @@
     }
 
     private fun elapsedMillis(): Long = (NanoTimeClock.now() - startedAt).inWholeMilliseconds
+
+    private companion object {
+        const val TENTHS = 10.0
+    }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -120,7 +120,7 @@
     }
 
     private fun seconds(duration: Duration): String =
-        "%.3f".format(java.util.Locale.ROOT, duration.inWholeMilliseconds / MILLISECONDS_PER_SECOND)
+        (duration.inWholeMilliseconds / MILLISECONDS_PER_SECOND).toString()
 
     private class BufferedResponse(val status: HttpResponseStatus, val headers: HttpHeaders, val body: ByteBuf)
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -65,7 +65,7 @@
 
     private fun compressor() = HttpContentCompressor(MIN_COMPRESSED_BYTES, StandardCompressionOptions.gzip())
 
-    private inner class RequestHandler : SimpleChannelInboundHandler<HttpObject>() {
+    private inner class RequestHandler : SimpleChannelInboundHandler<HttpObject>(HttpObject::class.java) {
         private val waiting = ArrayDeque<String>()
         private var isBusy = false
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/KeepAliveHeader.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/KeepAliveHeader.kt
@@ -9,9 +9,18 @@
  */
 internal object KeepAliveHeader {
     private const val NAME = "Keep-Alive"
-    private val TIMEOUT = Regex("""(?:^|[,\s])timeout\s*=\s*(\d{1,6})""", RegexOption.IGNORE_CASE)
+    private const val PARAMETER = "timeout"
+    private const val MAX_SECONDS = 999_999
 
     /** The stated timeout, or null if there is none. */
-    fun timeout(headers: HttpHeaders): Duration? =
-        headers[NAME]?.let { TIMEOUT.find(it) }?.groupValues?.get(1)?.toInt()?.seconds
+    fun timeout(headers: HttpHeaders): Duration? = headers[NAME]
+        ?.split(',')
+        ?.firstNotNullOfOrNull { seconds(it) }
+        ?.seconds
+
+    private fun seconds(parameter: String): Int? {
+        val separator = parameter.indexOf('=')
+        if (separator < 0 || !parameter.substring(0, separator).trim().equals(PARAMETER, ignoreCase = true)) return null
+        return parameter.substring(separator + 1).trim().toIntOrNull()?.takeIf { it in 0..MAX_SECONDS }
+    }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -31,7 +31,7 @@
     private val format: HeaderFormat,
     private val onIdle: (TargetConnection) -> Unit,
     private val onClosed: (TargetConnection) -> Unit,
-) : SimpleChannelInboundHandler<HttpObject>(false) {
+) : SimpleChannelInboundHandler<HttpObject>(HttpObject::class.java, false) {
     private lateinit var context: ChannelHandlerContext
     private var attempt: RunningAttempt? = null
     private var advertisedIdleTimeout: Duration? = null
--- a/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
+++ b/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
@@ -16,32 +16,38 @@
 
     /** Returns the [members] in the order of their score for [key], highest first. */
     fun <T> rank(key: String, members: Collection<T>, name: (T) -> String, weight: (T) -> Double = { 1.0 }): List<T> {
-        val keyHash = keyHashFunction.hashChars(key)
+        val memberHash = memberHashFunction(key)
         return members
-            .map { member -> member to score(keyHash, name(member), weight(member)) }
+            .map { member -> member to score(memberHash.hashChars(name(member)), weight(member)) }
             .sortedWith(compareByDescending<Pair<T, Double>> { it.second }.thenBy { name(it.first) })
             .map { it.first }
     }
 
     /** Returns the one of [members] with the highest score for [key], or null if there are none. */
     fun <T> first(key: String, members: Collection<T>, name: (T) -> String): T? {
-        val keyHash = keyHashFunction.hashChars(key)
+        val memberHash = memberHashFunction(key)
         var best: T? = null
-        var bestScore = Double.NEGATIVE_INFINITY
+        var bestBits = -1L
         for (member in members) {
-            val score = score(keyHash, name(member), weight = 1.0)
-            val isBetter = score > bestScore || (score == bestScore && best != null && name(member) > name(best))
+            val bits = fractionBits(memberHash.hashChars(name(member)))
+            val isBetter = bits > bestBits || (bits == bestBits && best != null && name(member) < name(best))
             if (isBetter) {
                 best = member
-                bestScore = score
+                bestBits = bits
             }
         }
         return best
     }
 
-    private fun score(keyHash: Long, name: String, weight: Double): Double {
-        val hash = LongHashFunction.xx3(keyHash).hashChars(name)
-        val fraction = ((hash ushr (Long.SIZE_BITS - FRACTION_BITS)) + 1) * UNIT
+    /** The hash of members' names for [key]. It is made once for all members, since its seed takes long to expand. */
+    private fun memberHashFunction(key: String): LongHashFunction =
+        LongHashFunction.xx3(keyHashFunction.hashChars(key))
+
+    /** The score grows with these bits of a member's hash. */
+    private fun fractionBits(hash: Long): Long = hash ushr (Long.SIZE_BITS - FRACTION_BITS)
+
+    private fun score(hash: Long, weight: Double): Double {
+        val fraction = (fractionBits(hash) + 1) * UNIT
         return -weight / ln(fraction.coerceAtMost(1.0 - UNIT))
     }
 }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpExchangeHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpExchangeHandler.kt
@@ -11,7 +11,7 @@
 /**
  * Handles one exchange at a time on a connection. All functions run on the connection's event loop.
  */
-internal class HttpExchangeHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
+internal class HttpExchangeHandler : SimpleChannelInboundHandler<FullHttpResponse>(FullHttpResponse::class.java) {
     private lateinit var context: ChannelHandlerContext
     private var onOutcome: ((HttpOutcome, reusable: Boolean) -> Unit)? = null
     private var timer: ScheduledFuture<*>? = null
