Wait with the first watch until the router knows whether it watches

Cause: each router that starts read both prefixes and at once waited for changes of both at the store, though all but eight learn from their first polls that others watch for them.

Change: after its first full read a router waits 500 ms before it watches. It hears of changes in that time from the routers that it polls, or from its watch 500 ms later.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -22,12 +22,16 @@
  *
  * A value of more than [maxValueLength] characters, which only a faulty writer stores, is replaced by an empty one, so
  * that such values neither fill the memory nor the updates for other routers.
+ *
+ * After the first full read, the watch starts only after [firstWatchDelay]: most routers learn meanwhile that others
+ * watch for them, and need no call for it.
  */
 class WatchReducer(
     private val prefix: String,
     private val removalGracePeriod: Duration,
     private val minOutage: Duration,
     private val maxValueLength: Int = Int.MAX_VALUE,
+    private val firstWatchDelay: Duration = Duration.ZERO,
 ) {
     /** The state and the effects after [event] at [now]. */
     fun reduce(state: WatchState, event: WatchEvent, now: Timestamp): Step<WatchState, WatchEffect> = when (event) {
@@ -173,7 +177,8 @@
         page: StoreResult.Values,
         now: Timestamp,
     ): Step<WatchState, WatchEffect> {
-        val valuesRead = phase.valuesRead + page.values.mapNotNull { item -> acceptedValue(item)?.let { item.key to it } }
+        val valuesRead =
+            phase.valuesRead + page.values.mapNotNull { item -> acceptedValue(item)?.let { item.key to it } }
         val revision = phase.revision ?: page.revision
         val lastKey = page.values.lastOrNull()?.key
         if (page.hasMore && lastKey != null) {
@@ -181,10 +186,15 @@
         }
         if (revision < state.revision) return awaitChange(state)
         val changeLog = ChangeLog.ofFullRead(valuesRead.keys, revision)
-        return replaceValues(state, valuesRead, now)
-            .then { awaitChange(it.copy(revision = revision, changeLog = changeLog)) }
+        val isFirstRead = state.revision == 0L && firstWatchDelay.isPositive()
+        return replaceValues(state, valuesRead, now).then {
+            val read = it.copy(revision = revision, changeLog = changeLog)
+            if (isFirstRead) Step(read.copy(phase = pausing(now + firstWatchDelay))) else awaitChange(read)
+        }
     }
 
+    private fun pausing(until: Timestamp) = Phase.Pausing(until, needsFullRead = false)
+
     private fun changesReceived(
         state: WatchState,
         result: StoreResult.Values,
@@ -204,7 +214,7 @@
         }
         val next = state.copy(revision = maxOf(state.revision, result.revision), changeLog = changeLog)
         if (changes.isEmpty()) return awaitChange(next)
-        val pausing = next.copy(phase = Phase.Pausing(now + BATCHING_DELAY, needsFullRead = false))
+        val pausing = next.copy(phase = pausing(now + BATCHING_DELAY))
         return replaceValues(pausing, values, now)
     }
 
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/WatchReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/WatchReducerTest.kt
@@ -28,6 +28,22 @@
         assertEquals(5, assertIs<StoreCommand.AwaitChange>(lastCall().command).afterRevision)
     }
 
+    /** Guards against calls of all routers that start, while few of them watch the store. */
+    @Test
+    fun `Given a first full read, when another router watches, then this one has made no call to watch`() {
+        val starting = WatchReducer("targets/", 2.seconds, 600.milliseconds, firstWatchDelay = 500.milliseconds)
+        val reading = starting.reduce(WatchState(), WatchEvent.Started, now).state
+        val read = StoreResult.Values(listOf(value("targets/a", 1)), revision = 5)
+        val step = starting.reduce(reading, WatchEvent.CallCompleted(reading.callId, read), now)
+        assertTrue(step.effects.none { it is WatchEffect.Call })
+        assertEquals(500.milliseconds, checkNotNull(starting.nextTick(step.state)) - now)
+        val delegated = starting.reduce(step.state, WatchEvent.Delegated, now).state
+        assertEquals(null, starting.nextTick(delegated))
+        val watching = starting.reduce(step.state, WatchEvent.Tick, now + 500.milliseconds)
+        val call = assertIs<WatchEffect.Call>(watching.effects.single())
+        assertEquals(5, assertIs<StoreCommand.AwaitChange>(call.command).afterRevision)
+    }
+
     @Test
     fun `Given a watch, when a change arrives, then the next call is delayed to batch further changes`() {
         startWith("a")
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
@@ -26,7 +26,13 @@
     private val scheduler: TaskScheduler,
     private val onValues: (Map<String, String>) -> Unit,
 ) {
-    private val reducer = WatchReducer(prefix, removalGracePeriod, minOutage, maxValueLength)
+    private val reducer = WatchReducer(
+        prefix = prefix,
+        removalGracePeriod = removalGracePeriod,
+        minOutage = minOutage,
+        maxValueLength = maxValueLength,
+        firstWatchDelay = FIRST_WATCH_DELAY,
+    )
 
     /** The known values and the progress of the watch. */
     var state = WatchState()
@@ -123,6 +129,8 @@
     }
 
     private companion object {
+        /** A router learns within its first polls of others whether it is one of those that watch. */
+        val FIRST_WATCH_DELAY = 500.milliseconds
         const val MAX_LISTED_KEYS = 16
     }
 }
