--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedTarget.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedTarget.kt
@@ -9,6 +9,9 @@
     private val waiting = ArrayDeque<Run>()
     private var running = 0
 
+    /** The factor by which requests that start now take longer than they should. */
+    var slowness = 1.0
+
     /** Requests that run or wait. */
     val held: Int get() = running + waiting.size
 
@@ -24,8 +27,8 @@
 
     private fun start(run: Run) {
         running += 1
-        time.after(run.headTime) { run.onHead(LoadReport(running, waiting.size)) }
-        time.after(run.runTime) {
+        time.after(run.headTime * slowness) { run.onHead(LoadReport(running, waiting.size)) }
+        time.after(run.runTime * slowness) {
             running -= 1
             run.onEnd()
             startWaiting()
