--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -68,8 +68,9 @@
         val loadBound = (imbalanceFactor * meanLoad + LOAD_BOUND_SLACK) * LOAD_BOUND_FRACTION
         val free = targets.indices.filter { targets[it].load(now) + 1 <= targets[it].entry.slots }
         val belowBound = free.filter { usualLoads[it] + 1 <= loadBound }
-        val selected = RendezvousHash.first(key = promptKey, members = belowBound, name = { targets[it].entry.id.value })
-            ?: free.minByOrNull { usualLoads[it] }
+        val selected =
+            RendezvousHash.first(key = promptKey, members = belowBound, name = { targets[it].entry.id.value })
+                ?: free.minByOrNull { usualLoads[it] }
         return selected?.let { targets[it] }
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -91,7 +91,6 @@
             }
     }
 
-
     private fun remove(connection: TargetConnection) {
         idle[connection.key]?.remove(connection)
     }
--- a/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
+++ b/cicadaarch-placement/src/main/kotlin/org/cicadaarch/placement/RendezvousHash.kt
@@ -40,8 +40,7 @@
     }
 
     /** The hash of members' names for [key]. It is made once for all members, since its seed takes long to expand. */
-    private fun memberHashFunction(key: String): LongHashFunction =
-        LongHashFunction.xx3(keyHashFunction.hashChars(key))
+    private fun memberHashFunction(key: String): LongHashFunction = LongHashFunction.xx3(keyHashFunction.hashChars(key))
 
     /** The score grows with these bits of a member's hash. */
     private fun fractionBits(hash: Long): Long = hash ushr (Long.SIZE_BITS - FRACTION_BITS)
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/settings/SettingsReader.kt
@@ -84,9 +84,12 @@
         private const val MOST_HEAD_BYTES = 1_048_576
         private const val MOST_BODY_BYTES = 268_435_456
 
-        private val CALLER_ADDRESS = SettingOption("caller-address", "where callers connect, host:port; port 0: any free one")
-        private val OPERATORS_ADDRESS = SettingOption("operators-address", "where operators connect, host:port; port 0: any free one")
-        private val PEER_ADDRESS = SettingOption("peer-address", "where other routers connect, host:port; port 0: any free one")
+        private val CALLER_ADDRESS =
+            SettingOption("caller-address", "where callers connect, host:port; port 0: any free one")
+        private val OPERATORS_ADDRESS =
+            SettingOption("operators-address", "where operators connect, host:port; port 0: any free one")
+        private val PEER_ADDRESS =
+            SettingOption("peer-address", "where other routers connect, host:port; port 0: any free one")
         private val ZONE = SettingOption("zone", "this VM's availability zone")
         private val REGION = SettingOption("region", "this VM's region")
         private val STORE = SettingOption("store", "the platform's key-value service, host:port")
