Name the router's listening addresses unlike the platform's field

Cause: the check of the platform's words found ListenAddresses, a field of its settings file, as the name of a class outside platform/.

Change: ListeningAddresses. No behaviour changes.

Measured: scripts/check-wire-words passes.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -79,7 +79,7 @@
     private val peerTransport = HttpPeerTransport(settings.peerAddress, eventLoops)
 
     /** The addresses in use, once the process has started. */
-    lateinit var addresses: ListenAddresses
+    lateinit var addresses: ListeningAddresses
         private set
 
     /** Binds all addresses and starts to watch the store. Throws an exception when an address is in use. */
@@ -91,7 +91,7 @@
         val peerSync = peerSync(self = peers)
         peerSync.listen()
         exchanges.holdEarlyRequests(settings.startupHoldTime)
-        addresses = ListenAddresses(clients = clientListener.start(), readiness = readiness, peers = peers)
+        addresses = ListeningAddresses(clients = clientListener.start(), readiness = readiness, peers = peers)
         LogEvents.info("router-started") {
             "router" to settings.name
             "callers" to addresses.clients
