--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -10,8 +10,8 @@
 sealed class DispatchEffect {
     /**
      * Send the request to [target], which has [timeLeft] to respond and may copy the cache of the prompt from
-     * [cacheSource]. A new connection must be established within [connectTimeout]. [estimatedLoad] is the load of [target] at its selection, by a report of age [loadReportAge], null
-     * if there is none.
+     * [cacheSource]. A new connection must be established within [connectTimeout]. [estimatedLoad] is the load of
+     * [target] at its selection, by a report of age [loadReportAge], null if there is none.
      */
     data class Send(
         val id: ExchangeId,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestTimers.kt
@@ -50,7 +50,7 @@
         return if (isAllowed) phase.sentAt + attemptTimeout(route.latencyObjective) else null
     }
 
-    /** How long a connection to a target may take. A lost packet takes longer, so another target is the better choice. */
+    /** How long a connection to a target may take. After a lost packet it takes longer than another target would. */
     fun connectTimeout(open: OpenRequest): Duration =
         (open.request.route.latencyObjective * CONNECT_TIMEOUT_FRACTION).coerceIn(CONNECT_TIMEOUTS)
 
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchReducerTest.kt
@@ -78,7 +78,7 @@
 
     /** Guards against a target that gets too much, as attempts of its predecessor end. */
     @Test
-    fun `Given an attempt in flight, when another process starts under the id, then the attempt's end is not its own`() {
+    fun `Given an attempt, when another process starts under the target's id, then the end is not counted there`() {
         val fixture = DispatchFixture(listOf(target("a", slots = 50)))
         fixture.receive(route(RetryPolicy.AT_MOST_ONCE))
         val old = fixture.lastSend
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
@@ -14,7 +14,8 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Accepts client connections at [address]; with port 0 the system picks a free port. While it drains, it closes each connection after its current request.
+ * Accepts client connections at [address]; with port 0 the system picks a free port. While it drains, it closes each
+ * connection after its current request.
  */
 internal class ClientListener(
     private val address: RouterAddress,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -17,7 +17,8 @@
 
 /**
  * What a [ForwardingExchange] needs besides the client request, and where it reports progress: metrics, the log and the
- * dispatch reducer. [afterNextRead] runs a task after the event loop has handled everything that connections have received by now.
+ * dispatch reducer. [afterNextRead] runs a task after the event loop has handled everything that connections have
+ * received by now.
  */
 internal class ExchangeContext(
     val dispatchRequest: DispatchRequest,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -22,10 +22,11 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * An HTTP server at [address]; with port 0 the system picks a free port. [onRequest] is called with the path and query of each request and a function that sends
- * the reply, which it may call at once or later. Request bodies are ignored. Large replies are compressed for clients
- * that accept it. A pipelined request waits until the one before it has its reply; a connection with more than
- * [MAX_PIPELINED_REQUESTS] is closed.
+ * An HTTP server at [address]; with port 0 the system picks a free port.
+ *
+ * [onRequest] is called with the path and query of each request and a function that sends the reply, which it may call
+ * at once or later. Request bodies are ignored. Large replies are compressed for clients that accept it. A pipelined
+ * request waits until the one before it has its reply; a connection with more than [MAX_PIPELINED_REQUESTS] is closed.
  */
 internal class HttpEndpoint(
     private val address: RouterAddress,
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/RouterProcess.kt
@@ -45,8 +45,10 @@
 import org.cicadaarch.store.HttpVirtualMachineList
 
 /**
- * A router: the reducer and everything that carries out its effects. Its peer address is bound at once, since it is part
- * of the router's identity; the constructor throws an exception when that address is in use.
+ * A router: the reducer and everything that carries out its effects.
+ *
+ * Its peer address is bound at once, since it is part of the router's identity. The constructor throws an exception
+ * when that address is in use.
  */
 class RouterProcess(private val settings: RouterSettings) {
     private val startNumber = SecureRandom().nextLong()
