Refuse at once when a new connection is closed before the request is sent

Change: a connection that was closed is not used: the attempt has not run and another target is tried, or the client is refused. The pool takes back open ones only. Lines of libraries state their cause.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -148,6 +148,8 @@
             when {
                 isFinished -> context.connectionPool.release(opened)
 
+                !opened.isAvailable -> onConnectFailed("connect: closed by the target")
+
                 !timeLeft.isPositive() -> {
                     context.connectionPool.release(opened)
                     finish(AttemptResult.NotStarted("time-over", reachedTarget = false, isTargetAtFault = false))
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -47,9 +47,9 @@
         if (pooled != null) onConnection(pooled) else connect(key, connectTimeout, onConnection, onFailure)
     }
 
-    /** Takes back [connection], which carries no attempt. */
+    /** Takes back [connection], which carries no attempt, unless it was closed meanwhile. */
     fun release(connection: TargetConnection) {
-        idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
+        if (connection.isAvailable) idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
     }
 
     /** Closes the idle connections to targets that are not in [present]. */
--- a/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/BoundedLogHandler.kt
+++ b/cicadaarch-logging/src/main/kotlin/org/cicadaarch/logging/BoundedLogHandler.kt
@@ -25,7 +25,13 @@
     override fun publish(record: LogRecord) {
         if (!isLoggable(record)) return
         val text = synchronized(time) { time.format(record.millis) }
-        lines.offer("time=$text level=${levelName(record.level)} ${record.message}\n")
+        lines.offer("time=$text level=${levelName(record.level)} ${record.message}${cause(record)}\n")
+    }
+
+    /** The cause of a line that a library logs; those of this program state theirs themselves. */
+    private fun cause(record: LogRecord): String {
+        val thrown = record.thrown ?: return ""
+        return LogFields().apply { "cause" to thrown.toString() }.toString().prependIndent(" ")
     }
 
     override fun flush() = Unit
--- a/cicadaarch-logging/src/test/kotlin/org/cicadaarch/logging/BoundedLogHandlerTest.kt
+++ b/cicadaarch-logging/src/test/kotlin/org/cicadaarch/logging/BoundedLogHandlerTest.kt
@@ -16,8 +16,10 @@
         val output = ByteArrayOutputStream()
         val handler = BoundedLogHandler(output).also { it.start() }
         listOf(Level.SEVERE, Level.WARNING, Level.INFO, Level.FINE).forEach { handler.publish(record(it, "event=a")) }
-        val expected = listOf("ERROR", "WARN", "INFO", "DEBUG")
-            .joinToString(separator = "") { "time=1970-01-01T00:00:01.000Z level=$it event=a\n" }
+        handler.publish(record(Level.WARNING, "event=b").apply { thrown = IllegalStateException("two words") })
+        val lines = listOf("ERROR", "WARN", "INFO", "DEBUG").map { "$it event=a" } +
+            "WARN event=b cause=\"java.lang.IllegalStateException: two words\""
+        val expected = lines.joinToString(separator = "") { "time=1970-01-01T00:00:01.000Z level=$it\n" }
         val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
         while (output.size() < expected.length && System.nanoTime() < deadline) Thread.sleep(1)
         assertEquals(expected, output.toString())
