Review case 1: a torn repeat of a refusal makes an unsafe request run twice

A faulty engine adds the start of an earlier refusal after a complete answer. The router keeps these bytes in the decoder of the pooled connection and reads the next answer as the rest of that head, so a request that ran counts as not run and is sent to a second engine (TWICE).

--- /dev/null
+++ b/review/standin/Fleet.java
@@ -0,0 +1,102 @@
+package standin;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A store with a configuration, some routers and the record of a case. Everything ends with [close]. */
+public final class Fleet implements AutoCloseable {
+    /** A small configuration of one host, with one route of each kind. */
+    public static final String CONFIGURATION = """
+        {"Version": 7,
+         "Routes": [
+          {"Name": "look", "Host": "desk.example", "Prefix": "/look/", "Kind": "safe", "TimeoutMs": 2000,
+           "TargetLatencyMs": 400, "Priority": 2, "Service": "ledger", "MaxAttempts": 2},
+          {"Name": "book", "Host": "desk.example", "Prefix": "/book/", "Kind": "unsafe", "TimeoutMs": 2000,
+           "TargetLatencyMs": 400, "Priority": 2, "Service": "ledger", "MaxAttempts": 1},
+          {"Name": "chat", "Host": "desk.example", "Prefix": "/chat/", "Kind": "streaming", "TimeoutMs": 10000,
+           "TargetLatencyMs": 400, "Priority": 0, "Service": "model", "MaxAttempts": 2, "StickySessions": true,
+           "StreamResumption": true, "GapTargetMs": 400},
+          {"Name": "draft", "Host": "desk.example", "Prefix": "/draft/", "Kind": "streaming", "TimeoutMs": 10000,
+           "TargetLatencyMs": 800, "Priority": 1, "Service": "model", "MaxAttempts": 1, "StickySessions": true,
+           "GapTargetMs": 400}],
+         "Services": [{"Name": "ledger", "HealthPath": "/health", "ConnectionLimit": 100},
+                      {"Name": "model", "HealthPath": "/health", "ConnectionLimit": 360}],
+         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+         "Tenants": [{"Name": "grower", "ApiKeys": ["secret"]}]}
+        """;
+
+    public final Store store = new Store();
+    public final List<Router> routers = new ArrayList<>();
+    /** Whether the disruption is to be injected. */
+    public final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    private final List<Engine> engines = new ArrayList<>();
+    private final Path folder = Files.createTempDirectory("review");
+    private final PrintWriter record;
+    private final long startedAt = System.nanoTime();
+
+    public Fleet(String recordFile) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
+        store.put("op/config", CONFIGURATION);
+    }
+
+    /** Writes a line of the record. */
+    public synchronized void log(String line) {
+        record.printf("%8.3f %s%n", (System.nanoTime() - startedAt) / 1e9, line);
+        record.flush();
+    }
+
+    public Engine engine(String id, String service, int slots, Engine.Behaviour behaviour) throws IOException {
+        Engine engine = new Engine(id, behaviour);
+        engines.add(engine);
+        store.put("servers/" + id, engine.entry(service, slots, "ready", 1));
+        return engine;
+    }
+
+    /** Starts [count] routers that know each other's control address as seeds. */
+    public void startRouters(int count) throws IOException, InterruptedException {
+        List<Integer> peers = new ArrayList<>();
+        for (int index = 0; index < count; index++) peers.add(Router.freePort());
+        for (int index = 0; index < count; index++) {
+            Router router = new Router("frontend-wm-a-" + (index + 1), folder, store.address(), peers, peers.get(index));
+            routers.add(router);
+            router.start();
+        }
+        Thread.sleep(500);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Router router : routers) router.close();
+        for (Engine engine : engines) engine.close();
+        store.close();
+        record.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) Files.delete(file);
+        }
+    }
+
+    /** Runs a case: exits with 1 if it returns false, the rule being broken, 0 if it held, 2 if it could not run. */
+    public static void run(String recordFile, Case action) {
+        int code = 2;
+        try (Fleet fleet = new Fleet(recordFile)) {
+            String broken = action.run(fleet);
+            code = broken == null ? 0 : 1;
+            fleet.log(broken == null ? "HELD" : "BROKEN " + broken);
+            System.out.println(broken == null ? "held" : "broken: " + broken);
+        } catch (Exception exception) {
+            exception.printStackTrace();
+        }
+        System.exit(code);
+    }
+
+    /** Returns what broke the rule, or null if it held. */
+    public interface Case {
+        String run(Fleet fleet) throws Exception;
+    }
+}
