--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -31,10 +31,17 @@
     public final String id;
     private final ServerSocket server;
     private final Behaviour behaviour;
+    private final boolean readsBodies;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     public Engine(String id, Behaviour behaviour) throws IOException {
+        this(id, true, behaviour);
+    }
+
+    /** An engine that answers a request before it has read the body, unless it [readsBodies]. */
+    public Engine(String id, boolean readsBodies, Behaviour behaviour) throws IOException {
         this.id = id;
+        this.readsBodies = readsBodies;
         this.behaviour = behaviour;
         this.server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         daemon(this::accept);
@@ -95,7 +102,7 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        int length = readsBodies ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
         byte[] body = in.readNBytes(length);
         if (body.length < length) return null;
         String[] parts = start.split(" ");
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -19,6 +19,8 @@
            "TargetLatencyMs": 400, "Priority": 2, "Service": "ledger", "MaxAttempts": 2},
           {"Name": "book", "Host": "desk.example", "Prefix": "/book/", "Kind": "unsafe", "TimeoutMs": 2000,
            "TargetLatencyMs": 400, "Priority": 2, "Service": "ledger", "MaxAttempts": 1},
+          {"Name": "report", "Host": "desk.example", "Prefix": "/report/", "Kind": "unsafe", "TimeoutMs": 10000,
+           "TargetLatencyMs": 1000, "Priority": 2, "Service": "ledger", "MaxAttempts": 1},
           {"Name": "chat", "Host": "desk.example", "Prefix": "/chat/", "Kind": "streaming", "TimeoutMs": 10000,
            "TargetLatencyMs": 400, "Priority": 0, "Service": "model", "MaxAttempts": 2, "StickySessions": true,
            "StreamResumption": true, "GapTargetMs": 400},
@@ -52,9 +54,13 @@
     }
 
     public Engine engine(String id, String service, int slots, Engine.Behaviour behaviour) throws IOException {
-        Engine engine = new Engine(id, behaviour);
+        return add(new Engine(id, behaviour), service, slots);
+    }
+
+    /** Registers [engine]. */
+    public Engine add(Engine engine, String service, int slots) {
         engines.add(engine);
-        store.put("servers/" + id, engine.entry(service, slots, "ready", 1));
+        store.put("servers/" + engine.id, engine.entry(service, slots, "ready", 1));
         return engine;
     }
 
