Review case 4: routers act on a stale configuration while the watching ones are turned away

The store gives no response to the eight routers that watch it for all, a third of the machines, and serves the others. The others keep relying on the eight, and go on to run requests with a key that was revoked (CONFIG, a stale one acts).

--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -20,13 +20,13 @@
     }
 
     public static final Answer NONE = new Answer(0, Map.of(), "");
-    private final int port;
+    private final Router router;
     private final int timeoutMillis;
     private Socket socket;
     private InputStream in;
 
-    public Client(int port, int timeoutMillis) {
-        this.port = port;
+    public Client(Router router, int timeoutMillis) {
+        this.router = router;
         this.timeoutMillis = timeoutMillis;
     }
 
@@ -52,7 +52,7 @@
     }
 
     public void connect() throws IOException {
-        socket = new Socket("127.0.0.1", port);
+        socket = new Socket(router.host, router.clientPort);
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(timeoutMillis);
         in = new BufferedInputStream(socket.getInputStream());
--- a/review/standin/EarlyAnswer.java
+++ b/review/standin/EarlyAnswer.java
@@ -43,7 +43,7 @@
         String body = "n".repeat(BODY_BYTES);
         for (int index = 0; index < REQUESTS; index++) {
             String id = "a" + index;
-            try (Client client = new Client(fleet.routers.get(0).clientPort, 12_000)) {
+            try (Client client = new Client(fleet.routers.get(0), 12_000)) {
                 Client.Answer answer = client.send(Client.request("POST", "/report/" + id, id, 9_000, "", body));
                 fleet.log("client sent " + id + " with " + BODY_BYTES + " bytes, got " + answer.status() + " with "
                     + answer.body().length() + " of " + ANSWER.length() + " bytes");
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 
 /** A store with a configuration, some routers and the record of a case. Everything ends with [close]. */
@@ -64,16 +65,35 @@
         return engine;
     }
 
-    /** Starts [count] routers that know each other's control address as seeds. */
+    /** Starts [count] routers, one after the other. */
     public void startRouters(int count) throws IOException, InterruptedException {
-        List<Integer> peers = new ArrayList<>();
-        for (int index = 0; index < count; index++) peers.add(Router.freePort());
+        addRouters(count, index -> store.address());
+        for (Router router : routers) router.start();
+        Thread.sleep(500);
+    }
+
+    /** Starts routers at the same time, each with a link of its own to the store. */
+    public List<StoreLink> startLinkedRouters(int count) throws IOException, InterruptedException {
+        List<StoreLink> links = new ArrayList<>();
+        for (int index = 0; index < count; index++) links.add(new StoreLink(store.address()));
+        addRouters(count, index -> links.get(index).address());
+        for (Router router : routers) router.launch();
+        for (Router router : routers) router.awaitReady();
+        return links;
+    }
+
+    /** Adds routers of which the first three are the seeds of all. */
+    private void addRouters(int count, IntFunction<String> storeAddress) throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        List<String> seeds = new ArrayList<>();
         for (int index = 0; index < count; index++) {
-            Router router = new Router("frontend-wm-a-" + (index + 1), folder, store.address(), peers, peers.get(index));
-            routers.add(router);
-            router.start();
+            ports.add(Router.freePort(Router.host(index)));
+            if (index < 3) seeds.add(Router.host(index) + ":" + ports.get(index));
+        }
+        for (int index = 0; index < count; index++) {
+            routers.add(new Router("frontend-wm-a-" + (index + 1), Router.host(index), folder, storeAddress.apply(index),
+                seeds, ports.get(index)));
         }
-        Thread.sleep(500);
     }
 
     @Override
--- a/review/standin/SlowReader.java
+++ b/review/standin/SlowReader.java
@@ -74,7 +74,7 @@
         String end = "the connection ended";
         try (Socket socket = new Socket()) {
             socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-            socket.connect(new InetSocketAddress("127.0.0.1", router.clientPort));
+            socket.connect(new InetSocketAddress(router.host, router.clientPort));
             socket.setSoTimeout(12_000);
             String text = Client.request("POST", "/report/" + id, id, DEADLINE_MILLIS, "", "net");
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
--- a/review/standin/Smuggled.java
+++ b/review/standin/Smuggled.java
@@ -42,7 +42,7 @@
                     : Client.request("POST", "/book/outer", id, 1_500, "", inner);
                 sent.add(id);
                 fleet.log("client sends " + id + (fleet.hasTrouble ? " with Transfer-Encoding: " + coding : " with a length"));
-                try (Client client = new Client(fleet.routers.get(round % 2).clientPort, 1_000)) {
+                try (Client client = new Client(fleet.routers.get(round % 2), 1_000)) {
                     fleet.log("client got " + client.send(text).status());
                     fleet.log("and then " + more(client));
                 }
--- a/review/standin/TornRepeat.java
+++ b/review/standin/TornRepeat.java
@@ -54,7 +54,7 @@
         fleet.engine("i-two", "ledger", 6, ledger);
         fleet.startRouters(1);
         List<String> broken = new ArrayList<>();
-        try (Client client = new Client(fleet.routers.get(0).clientPort, 5_000)) {
+        try (Client client = new Client(fleet.routers.get(0), 5_000)) {
             for (int index = 0; index < REQUESTS; index++) {
                 String id = "a" + index;
                 Client.Answer answer = client.send(Client.request("POST", "/book/" + index, id, 1_500, "", "net"));
--- /dev/null
+++ b/review/standin/TurnedAway.java
@@ -0,0 +1,89 @@
+package standin;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The store turns a third of the machines away without a response, first those that read the list of engines last, and
+ * serves the others. Meanwhile a key is revoked. Judged are the machines that the store serves.
+ */
+public final class TurnedAway {
+    private static final int ROUTERS = 24;
+    private static final int TURNED_AWAY = 8;
+    private static final int CALM_MILLIS = 14_000;
+    private static final int OUTAGE_MILLIS = 9_000;
+    private static final int CONFIG_APPLY_MILLIS = 2_000;
+    private static final int INTERVAL_MILLIS = 250;
+    private static final String TENANTS = "\"ApiKeys\": [\"secret\"]";
+
+    public static void main(String[] arguments) {
+        Fleet.run(arguments[0], TurnedAway::play);
+    }
+
+    private static String play(Fleet fleet) throws Exception {
+        Set<String> run = ConcurrentHashMap.newKeySet();
+        for (String id : List.of("i-one", "i-two")) {
+            fleet.engine(id, "ledger", 6, (request, socket, out) -> {
+                run.add(request.id());
+                out.write(Engine.answer("200 OK", request.id(), "X-Response-Seal: s-" + request.id() + "\r\n", "booked"));
+                return true;
+            });
+        }
+        fleet.store.put("op/config", Fleet.CONFIGURATION.replace(TENANTS, "\"ApiKeys\": [\"secret\", \"kept\"]"));
+        List<StoreLink> links = fleet.startLinkedRouters(ROUTERS);
+        fleet.log(ROUTERS + " routers are ready");
+        Thread.sleep(CALM_MILLIS);
+        List<StoreLink> away = new ArrayList<>(links);
+        away.sort(Comparator.comparingLong(StoreLink::lastListReadAt).reversed());
+        away = away.subList(0, TURNED_AWAY);
+        List<Router> served = new ArrayList<>();
+        for (int index = 0; index < ROUTERS; index++) {
+            if (!away.contains(links.get(index))) served.add(fleet.routers.get(index));
+        }
+        if (fleet.hasTrouble) {
+            for (StoreLink link : away) link.setTurnedAway(true);
+            fleet.log("the store gives no response to " + names(fleet, links, away));
+        }
+        Thread.sleep(INTERVAL_MILLIS);
+        String revoked = Fleet.CONFIGURATION.replace("\"Version\": 7", "\"Version\": 9").replace(TENANTS, "\"ApiKeys\": [\"kept\"]");
+        fleet.store.put("op/config", revoked);
+        long acknowledgedAt = System.nanoTime();
+        fleet.log("the store has acknowledged version 9, without the key");
+        Map<String, Long> lastRun = new TreeMap<>();
+        int late = 0;
+        for (int round = 0; millisSince(acknowledgedAt) < OUTAGE_MILLIS; round++) {
+            for (Router router : served) {
+                String id = "a" + round + "-" + router.name;
+                long sentAfter = millisSince(acknowledgedAt);
+                int status;
+                try (Client client = new Client(router, 3_000)) {
+                    status = client.send(Client.request("POST", "/book/1", id, 1_500, "", "net")).status();
+                }
+                fleet.log(id + " sent " + sentAfter + " ms after the acknowledgement, got " + status
+                    + (run.contains(id) ? ", run" : ""));
+                if (run.contains(id) && sentAfter > CONFIG_APPLY_MILLIS) {
+                    late += 1;
+                    lastRun.put(router.name, sentAfter);
+                }
+            }
+            Thread.sleep(INTERVAL_MILLIS);
+        }
+        lastRun.forEach((name, millis) -> fleet.log(name + " last passed a request with the revoked key on " + millis + " ms after"));
+        return late == 0 ? null : "CONFIG: " + late + " requests with the revoked key ran, sent more than "
+            + CONFIG_APPLY_MILLIS + " ms after the acknowledgement, through " + lastRun.size() + " of " + served.size()
+            + " machines that the store serves; the last one " + lastRun.values().stream().max(Long::compare).get() + " ms after";
+    }
+
+    private static String names(Fleet fleet, List<StoreLink> links, List<StoreLink> some) {
+        return String.join(", ", some.stream().map(link -> fleet.routers.get(links.indexOf(link)).name).toList());
+    }
+
+    private static long millisSince(long nanoTime) {
+        return (System.nanoTime() - nanoTime) / 1_000_000;
+    }
+}
