--- a/review/standin/TurnedAway.java
+++ b/review/standin/TurnedAway.java
@@ -16,8 +16,13 @@
     private static final int ROUTERS = 24;
     private static final int TURNED_AWAY = 8;
     private static final int CALM_MILLIS = 14_000;
+    private static final int PATIENCE_MILLIS = 40_000;
+    private static final int MIN_RENEWED_MILLIS = 1_500;
+    private static final int MAX_RENEWED_MILLIS = 4_500;
+    private static final int MIN_UNREAD_MILLIS = 11_000;
     private static final int OUTAGE_MILLIS = 9_000;
     private static final int CONFIG_APPLY_MILLIS = 2_000;
+    private static final int OUTER_BOUND_MILLIS = 5_000;
     private static final int INTERVAL_MILLIS = 250;
     private static final String TENANTS = "\"ApiKeys\": [\"secret\"]";
 
@@ -38,8 +43,14 @@
         List<StoreLink> links = fleet.startLinkedRouters(ROUTERS);
         fleet.log(ROUTERS + " routers are ready");
         Thread.sleep(CALM_MILLIS);
-        List<StoreLink> away = new ArrayList<>(links);
-        away.sort(Comparator.comparingLong(StoreLink::lastListReadAt).reversed());
+        List<StoreLink> away = latestReaders(links);
+        long patienceEnd = System.nanoTime() + PATIENCE_MILLIS * 1_000_000L;
+        while (!isSteady(away) && System.nanoTime() < patienceEnd) {
+            Thread.sleep(100);
+            away = latestReaders(links);
+        }
+        fleet.log("seconds since each machine last read the list, latest first: " + String.join(" ",
+            away.stream().map(link -> "%.1f".formatted(millisSince(link.lastListReadAt()) / 1000.0)).toList()));
         away = away.subList(0, TURNED_AWAY);
         List<Router> served = new ArrayList<>();
         for (int index = 0; index < ROUTERS; index++) {
@@ -56,6 +67,7 @@
         fleet.log("the store has acknowledged version 9, without the key");
         Map<String, Long> lastRun = new TreeMap<>();
         int late = 0;
+        int latest = 0;
         for (int round = 0; millisSince(acknowledgedAt) < OUTAGE_MILLIS; round++) {
             for (Router router : served) {
                 String id = "a" + round + "-" + router.name;
@@ -68,6 +80,7 @@
                     + (run.contains(id) ? ", run" : ""));
                 if (run.contains(id) && sentAfter > CONFIG_APPLY_MILLIS) {
                     late += 1;
+                    if (sentAfter > CONFIG_APPLY_MILLIS + OUTER_BOUND_MILLIS) latest += 1;
                     lastRun.put(router.name, sentAfter);
                 }
             }
@@ -75,10 +88,24 @@
         }
         lastRun.forEach((name, millis) -> fleet.log(name + " last passed a request with the revoked key on " + millis + " ms after"));
         return late == 0 ? null : "CONFIG: " + late + " requests with the revoked key ran, sent more than "
-            + CONFIG_APPLY_MILLIS + " ms after the acknowledgement, through " + lastRun.size() + " of " + served.size()
+            + CONFIG_APPLY_MILLIS + " ms after the acknowledgement (" + latest + " of them more than "
+            + (CONFIG_APPLY_MILLIS + OUTER_BOUND_MILLIS) + " ms after it), through " + lastRun.size() + " of " + served.size()
             + " machines that the store serves; the last one " + lastRun.values().stream().max(Long::compare).get() + " ms after";
     }
 
+    private static List<StoreLink> latestReaders(List<StoreLink> links) {
+        List<StoreLink> latest = new ArrayList<>(links);
+        latest.sort(Comparator.comparingLong(StoreLink::lastListReadAt).reversed());
+        return latest;
+    }
+
+    /** Whether the same machines as before have renewed their watches some seconds ago, and no others read since. */
+    private static boolean isSteady(List<StoreLink> latestFirst) {
+        return millisSince(latestFirst.get(0).lastListReadAt()) > MIN_RENEWED_MILLIS
+            && millisSince(latestFirst.get(TURNED_AWAY - 1).lastListReadAt()) < MAX_RENEWED_MILLIS
+            && millisSince(latestFirst.get(TURNED_AWAY).lastListReadAt()) > MIN_UNREAD_MILLIS;
+    }
+
     private static String names(Fleet fleet, List<StoreLink> links, List<StoreLink> some) {
         return String.join(", ", some.stream().map(link -> fleet.routers.get(links.indexOf(link)).name).toList());
     }
