--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -4,7 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Predicate;
 
 /** A stand-in for an engine. [Behaviour] writes what the engine sends for each request that it has read in full. */
 public final class Engine implements AutoCloseable {
@@ -28,22 +29,27 @@
         boolean answer(Request request, Socket socket, OutputStream out) throws Exception;
     }
 
+    /** Links have small windows (DEPLOY.md). */
+    private static final int RECEIVE_BUFFER_BYTES = 32_768;
+    private static final int BACKLOG = 200;
     public final String id;
     private final ServerSocket server;
     private final Behaviour behaviour;
-    private final boolean readsBodies;
+    private final Predicate<String> readsBody;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     public Engine(String id, Behaviour behaviour) throws IOException {
-        this(id, true, behaviour);
+        this(id, attemptId -> true, behaviour);
     }
 
-    /** An engine that answers a request before it has read the body, unless it [readsBodies]. */
-    public Engine(String id, boolean readsBodies, Behaviour behaviour) throws IOException {
+    /** An engine that asks [readsBody], by the request's id, whether to read the body before it answers. */
+    public Engine(String id, Predicate<String> readsBody, Behaviour behaviour) throws IOException {
         this.id = id;
-        this.readsBodies = readsBodies;
+        this.readsBody = readsBody;
         this.behaviour = behaviour;
-        this.server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        this.server = new ServerSocket();
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.bind(new InetSocketAddress("127.0.0.1", 0), BACKLOG);
         daemon(this::accept);
     }
 
@@ -102,7 +108,8 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
         }
-        int length = readsBodies ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
+        int length = readsBody.test(headers.get("x-attempt-id"))
+            ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
         byte[] body = in.readNBytes(length);
         if (body.length < length) return null;
         String[] parts = start.split(" ");
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -34,16 +34,19 @@
          "Tenants": [{"Name": "grower", "ApiKeys": ["secret"]}]}
         """;
 
+    private static final int SPOILING_MILLIS = 5_000;
+    private static final int CALM_MILLIS = 1_000;
     public final Store store = new Store();
     public final List<Router> routers = new ArrayList<>();
     /** Whether the disruption is to be injected. */
-    public final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    public final boolean hasTrouble;
     private final List<Engine> engines = new ArrayList<>();
     private final Path folder = Files.createTempDirectory("review");
     private final PrintWriter record;
     private final long startedAt = System.nanoTime();
 
-    public Fleet(String recordFile) throws IOException {
+    public Fleet(String recordFile, boolean hasTrouble) throws IOException {
+        this.hasTrouble = hasTrouble;
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)));
         store.put("op/config", CONFIGURATION);
     }
@@ -96,6 +99,11 @@
         }
     }
 
+    /** Whether a disruption that comes again and again, for five seconds of each six, is on. */
+    public boolean isSpoiling() {
+        return hasTrouble && (System.nanoTime() - startedAt) / 1_000_000 % (SPOILING_MILLIS + CALM_MILLIS) < SPOILING_MILLIS;
+    }
+
     @Override
     public void close() throws IOException {
         for (Router router : routers) router.close();
@@ -107,10 +115,14 @@
         }
     }
 
-    /** Runs a case: exits with 1 if it returns false, the rule being broken, 0 if it held, 2 if it could not run. */
-    public static void run(String recordFile, Case action) {
+    /**
+     * Runs a case; [arguments] are the file of its record and with-trouble or without-trouble. Exits with 1 if the rule
+     * was broken, 0 if it held, and 2 if the case could not run.
+     */
+    public static void run(String[] arguments, Case action) {
         int code = 2;
-        try (Fleet fleet = new Fleet(recordFile)) {
+        try (Fleet fleet = new Fleet(arguments[0], !"without-trouble".equals(arguments[1]))) {
+            fleet.log(fleet.hasTrouble ? "with the disruption" : "without the disruption");
             String broken = action.run(fleet);
             code = broken == null ? 0 : 1;
             fleet.log(broken == null ? "HELD" : "BROKEN " + broken);
