Decide from the head where a request ends, and refuse what is in doubt

Cause: the HTTP library guesses where a body ends when the head leaves it in doubt, and the router checked one of its guesses only.

The ports for other routers, readiness and operators, and the callers' port of the product's own interface, use the same decoder.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
@@ -6,12 +6,12 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import java.net.InetSocketAddress
 import org.cicadaarch.dispatch.routing.ClientLimits
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.http.BoundAddress
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.store.framing.StrictServerCodec
 
 /**
  * Accepts client connections at [address]; with port 0 the system picks a free port. While it drains, it closes each
@@ -87,8 +87,7 @@
             val handler = ClientConnectionHandler(this@ClientListener)
             channel.pipeline()
                 .addLast(ClientTimeouts(this@ClientListener, handler))
-                .addLast(StrictRequestDecoder(limits.headerBytes))
-                .addLast(HttpResponseEncoder())
+                .addLast(StrictServerCodec(limits.headerBytes))
                 .addLast(handler)
         }
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -15,11 +15,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.store.framing.StrictServerCodec
 
 /**
  * An HTTP server at [address]; with port 0 the system picks a free port.
@@ -60,7 +60,7 @@
 
     private inner class ConnectionInitializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline().addLast(HttpServerCodec()).addLast(compressor()).addLast(RequestHandler())
+            channel.pipeline().addLast(StrictServerCodec()).addLast(compressor()).addLast(RequestHandler())
         }
     }
 
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/caller/CallerServer.kt
@@ -9,10 +9,8 @@
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.timeout.IdleStateHandler
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
@@ -20,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.router.settings.RouterSettings
+import org.cicadaarch.store.framing.StrictServerCodec
 
 /**
  * Listens for callers. Connections above the maximum get an answer that says so and are closed.
@@ -79,10 +78,9 @@
     override fun close() = drain()
 
     private fun initialize(channel: SocketChannel) {
-        val decoder = HttpDecoderConfig().setMaxHeaderSize(settings.maximumHeadBytes)
         channel.pipeline()
             .addLast(IdleStateHandler(0, 0, IDLE_SECONDS))
-            .addLast(HttpServerCodec(decoder))
+            .addLast(StrictServerCodec(settings.maximumHeadBytes))
         if (connections.incrementAndGet() > settings.maximumConnections) {
             channel.pipeline().addLast(CallerConnection(settings.maximumBodyBytes, ::refuseConnection) { true })
         } else {
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsServer.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/operators/OperatorsServer.kt
@@ -15,11 +15,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.QueryStringDecoder
 import java.net.InetSocketAddress
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.store.framing.StrictServerCodec
 
 /**
  * The operators' HTTP endpoint, on an address of its own.
@@ -40,7 +40,7 @@
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         channel.pipeline()
-                            .addLast(HttpServerCodec())
+                            .addLast(StrictServerCodec())
                             .addLast(HttpObjectAggregator(MAXIMUM_BODY_BYTES))
                             .addLast(Handler())
                     }
