Complete a response without a length only at an orderly end

Cause: the transport closes the channel when a write fails, and the library's decoder completes a body without a length at any close.

Change: connections to targets, the store and other routers allow half closure; only then does the transport report the sender's end as an event. StrictResponseDecoder completes such a body at that event alone, and not after a failed read, which the transport reports first. Responses follow the same framing rules as requests.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -3,8 +3,10 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -18,6 +20,7 @@
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.forwarding.format.ResponseMetadata
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.store.framing.StrictResponseDecoder
 
 /**
  * A connection to a target that carries one attempt at a time.
@@ -30,6 +33,7 @@
 internal class TargetConnection(
     val key: TargetKey,
     private val format: HeaderFormat,
+    private val decoder: StrictResponseDecoder,
     private val onIdle: (TargetConnection) -> Unit,
     private val onClosed: (TargetConnection) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>(HttpObject::class.java, false) {
@@ -53,6 +57,7 @@
         check(attempt == null) { "The connection already carries an attempt." }
         val written = context.newPromise()
         attempt = RunningAttempt(requestId, listener, written)
+        decoder.awaitsResponseToHead = request.method() == HttpMethod.HEAD
         context.writeAndFlush(request, written)
     }
 
@@ -103,6 +108,12 @@
         if (part is HttpContent) onContent(part)
     }
 
+    /** The target has ended its side in order. A response that this completes was passed on before. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) fail("connection-closed", isConnectionLost = true)
+        super.userEventTriggered(context, event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         fail("connection-closed", isConnectionLost = true)
         onClosed(this)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnectionPool.kt
@@ -7,13 +7,14 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import org.cicadaarch.forwarding.NanoTimeClock
 import org.cicadaarch.forwarding.format.HeaderFormat
 import org.cicadaarch.store.KeepAliveProbes
+import org.cicadaarch.store.framing.StrictResponseDecoder
 
 /**
  * Pool of persistent connections to targets. All functions must be called on [eventLoop].
@@ -85,14 +86,16 @@
         onConnection: (TargetConnection) -> Unit,
         onFailure: (String) -> Unit,
     ) {
-        val connection = TargetConnection(key, format, onIdle = ::release, onClosed = ::remove)
+        val decoder = StrictResponseDecoder()
+        val connection = TargetConnection(key, format, decoder, onIdle = ::release, onClosed = ::remove)
         Bootstrap()
             .group(eventLoop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt())
             .also { KeepAliveProbes.enable(it) }
-            .handler(ConnectionInitializer(connection))
+            .handler(ConnectionInitializer(decoder, connection))
             .connect(InetSocketAddress(key.host, key.port))
             .addListener { future ->
                 when {
@@ -114,11 +117,15 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
-    private class ConnectionInitializer(private val connection: TargetConnection) : ChannelInitializer<Channel>() {
+    private class ConnectionInitializer(
+        private val decoder: StrictResponseDecoder,
+        private val connection: TargetConnection,
+    ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             channel.pipeline()
                 .addLast(ResponseByteCounter(connection))
-                .addLast(HttpClientCodec())
+                .addLast(decoder)
+                .addLast(HttpRequestEncoder())
                 .addLast(connection)
         }
     }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetAnswerHandler.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetAnswerHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -38,6 +39,12 @@
         if (message is HttpContent) content(context, message)
     }
 
+    /** The target has ended its side in order. An answer that this completes was handed on before. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) fail(context)
+        super.userEventTriggered(context, event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         fail(context)
     }
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
@@ -10,14 +10,16 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import jdk.net.ExtendedSocketOptions
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.request.AttemptFailure
+import org.cicadaarch.store.framing.StrictResponseDecoder
 
 /**
  * Sends requests to targets over HTTP/1.1 and keeps idle connections for repeatable requests.
@@ -66,6 +68,7 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
@@ -73,7 +76,7 @@
         .handler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpClientCodec())
+                    channel.pipeline().addLast(StrictResponseDecoder()).addLast(HttpRequestEncoder())
                 }
             },
         )
@@ -87,6 +90,8 @@
     ) {
         val handler = TargetAnswerHandler(call, listener) { finished -> keep(key, finished) }
         channel.pipeline().addLast(handler)
+        channel.pipeline().get(StrictResponseDecoder::class.java).awaitsResponseToHead =
+            request.method == HttpMethod.HEAD
         call.attach(channel)
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -42,6 +43,11 @@
         if (part is LastHttpContent) end(context, StoreResult.Unanswered("watch stream ended"))
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) end(context, StoreResult.Unanswered("connection closed"))
+        super.userEventTriggered(context, event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         end(context, StoreResult.Unanswered("connection closed"))
     }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
@@ -9,14 +9,15 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContentDecompressor
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentLinkedDeque
 import kotlin.time.Duration
 import kotlin.time.TimeSource
+import org.cicadaarch.store.framing.StrictResponseDecoder
 
 /**
  * An HTTP client for one endpoint that reuses idle connections.
@@ -102,6 +103,7 @@
             .group(eventLoopGroup)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis(timeout))
             .also { KeepAliveProbes.enable(it) }
             .handler(PipelineInitializer(handlers))
@@ -117,7 +119,7 @@
         override fun initChannel(channel: Channel) {
             openConnections.add(channel)
             channel.closeFuture().addListener { idleConnections.remove(channel) }
-            channel.pipeline().addLast(HttpClientCodec())
+            channel.pipeline().addLast(StrictResponseDecoder()).addLast(HttpRequestEncoder())
             handlers().forEach { channel.pipeline().addLast(it) }
         }
     }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpExchangeHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpExchangeHandler.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.util.concurrent.ScheduledFuture
@@ -40,6 +41,12 @@
         }
     }
 
+    /** The server has ended its side in order. A response that this completes was passed on before. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) endAndClose(HttpOutcome.Broken("connection closed"))
+        super.userEventTriggered(context, event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         end(HttpOutcome.Broken("connection closed"), reusable = false)
     }
