Claim to watch the store only while it answers, and stand in for lost watchers

Cause: "watches the store" meant that no call had failed yet. A watch without a response fails after 11 s; the others took that silence for "no news", and a router that took over claimed to watch before the store had answered it.

Change: a watching router probes the store with a cheap read, gives up its watch without an answer, and tells those whose polls wait at once. The claim needs an answer since the watch began. A router that hears of none that watches asks the store and stands in.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchEvent.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchEvent.kt
@@ -21,6 +21,11 @@
     /** This router watches the store itself again. */
     data object Resumed : WatchEvent()
 
+    /**
+     * The store seems to have stopped serving this router, for [reason]. A watch that waits may have ended unnoticed.
+     */
+    data class StoreUnresponsive(val reason: String) : WatchEvent()
+
     /** The time given by [WatchReducer.nextTick] has come. */
     data object Tick : WatchEvent()
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -49,6 +49,8 @@
 
         WatchEvent.Resumed -> resumed(state)
 
+        is WatchEvent.StoreUnresponsive -> storeUnresponsive(state, event.reason, now)
+
         WatchEvent.Tick -> tick(state, now)
     }
 
@@ -93,9 +95,22 @@
 
     /** Takes a new call id, so that the result of a pending call is ignored. */
     private fun delegated(state: WatchState): Step<WatchState, WatchEffect> = Step(
-        state.copy(phase = Phase.Delegated, callId = state.callId + 1, failures = 0, failingSince = null),
+        state.copy(
+            phase = Phase.Delegated,
+            callId = state.callId + 1,
+            failures = 0,
+            failingSince = null,
+            isConfirmed = false,
+        ),
     )
 
+    /** Gives up a waiting watch, whose result is ignored from now on. Other calls have a short timeout of their own. */
+    private fun storeUnresponsive(state: WatchState, reason: String, now: Timestamp): Step<WatchState, WatchEffect> =
+        when {
+            state.phase is Phase.Watching -> callFailed(state.copy(callId = state.callId + 1), reason, now)
+            else -> Step(state)
+        }
+
     private fun resumed(state: WatchState): Step<WatchState, WatchEffect> = when {
         state.phase !is Phase.Delegated -> Step(state)
         state.revision == 0L -> startFullRead(state)
@@ -146,9 +161,9 @@
     }
 
     private fun callSucceeded(state: WatchState, now: Timestamp): Step<WatchState, WatchEffect> {
-        val failingSince = state.failingSince ?: return Step(state)
+        val failingSince = state.failingSince ?: return Step(state.copy(isConfirmed = true))
         val recoveredAt = if (now - failingSince >= minOutage) now else state.recoveredAt
-        val next = state.copy(failures = 0, failingSince = null, recoveredAt = recoveredAt)
+        val next = state.copy(failures = 0, failingSince = null, recoveredAt = recoveredAt, isConfirmed = true)
         return Step(next, listOf(WatchEffect.StoreRegained))
     }
 
@@ -236,9 +251,16 @@
         return Step(next, if (values == state.values) emptyList() else listOf(WatchEffect.ValuesChanged(values)))
     }
 
-    /** After a failure the timeout is short, as the store is known to have recovered only when the call returns. */
+    /**
+     * At first and after a failure the timeout is short, as the store is known to serve this router only when the call
+     * returns.
+     */
     private fun awaitChange(state: WatchState): Step<WatchState, WatchEffect> {
-        val timeout = if (state.failures == 0) WATCH_TIMEOUT else RECOVERY_WATCH_TIMEOUT
+        val timeout = when {
+            state.failures > 0 -> RECOVERY_WATCH_TIMEOUT
+            state.isConfirmed -> WATCH_TIMEOUT
+            else -> FIRST_WATCH_TIMEOUT
+        }
         return sendCall(state, Phase.Watching, StoreCommand.AwaitChange(prefix, state.revision, timeout))
     }
 
@@ -267,6 +289,7 @@
         private const val MAX_BACKOFF_DOUBLINGS = 3
         private val WATCH_TIMEOUT = 10.seconds
         private val RECOVERY_WATCH_TIMEOUT = 200.milliseconds
+        private val FIRST_WATCH_TIMEOUT = 20.milliseconds
 
         private const val PAGE_SIZE = 500
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchState.kt
@@ -9,7 +9,8 @@
  *
  * [expiring] holds the keys that disappeared around a store outage, each with the time at which its value is removed.
  * [failures] counts the calls that failed since the last successful one; they have failed since [failingSince].
- * [recoveredAt] is when the last outage ended, null if there was none.
+ * [recoveredAt] is when the last outage ended, null if there was none. [isConfirmed] tells whether the store has
+ * answered since this router began to watch, or to watch again.
  */
 data class WatchState(
     val phase: Phase = Phase.Idle,
@@ -20,10 +21,11 @@
     val failures: Int = 0,
     val failingSince: Timestamp? = null,
     val recoveredAt: Timestamp? = null,
+    val isConfirmed: Boolean = false,
     val changeLog: ChangeLog = ChangeLog(),
 ) {
-    /** Whether this router watches the store itself and the store responds. */
-    val isWatchingStore: Boolean get() = revision > 0 && failures == 0 && phase !is Phase.Delegated
+    /** Whether this router watches the store itself and the store has answered its last call. */
+    val isWatchingStore: Boolean get() = revision > 0 && isConfirmed && failures == 0 && phase !is Phase.Delegated
 
     /**
      * The update for a router whose copy is at [since], or null if that copy is up to date. It is a full snapshot if
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -13,6 +13,7 @@
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.fleet.FleetReader
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
+import org.cicadaarch.forwarding.fleet.StoreProbe
 import org.cicadaarch.forwarding.fleet.TargetRemovalPolicy
 import org.cicadaarch.forwarding.format.FleetFormat
 import org.cicadaarch.forwarding.format.HeaderFormat
@@ -99,6 +100,11 @@
         batchingDelay = CrashRecordStore.BATCHING_DELAY,
     )
 
+    private val storeProbe = StoreProbe(
+        store = store,
+        scheduler = scheduler,
+        bound = settings.configurationApplyTime,
+    )
     private val peerTransport = HttpPeerTransport(settings.peerAddress, eventLoops)
 
     /** The addresses in use, once the process has started. */
@@ -176,6 +182,8 @@
         transport = peerTransport,
         scheduler = scheduler,
         prefixWatchers = prefixWatchers(),
+        storeProbe = storeProbe,
+        bound = settings.configurationApplyTime,
     )
 
     private fun registerGauges() {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
@@ -13,6 +13,8 @@
  * reach this one at [peerAddress]; [seedPeers] are some of them and may include routers that no longer run. The process
  * is killed [gracePeriod] after it is told to stop.
  *
+ * A configuration is to be in force [configurationApplyTime] after the store has accepted it.
+ *
  * Targets write their entries every [targetHeartbeatInterval] and may be used for [drainTimeout] after they leave.
  * Requests that arrive before the first configuration are held until [startupHoldTime] after the start.
  */
@@ -26,6 +28,7 @@
     val gracePeriod: Duration,
     val targetHeartbeatInterval: Duration,
     val drainTimeout: Duration,
+    val configurationApplyTime: Duration,
     val dispatch: DispatchSettings,
     val startupHoldTime: Duration = 500.milliseconds,
 )
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/PrefixWatcher.kt
@@ -44,6 +44,9 @@
     /** Called each time the known revision increases. */
     var onNewRevision: () -> Unit = {}
 
+    /** Called when this router no longer watches the store, because calls fail or other routers watch for it. */
+    var onWatchEnded: () -> Unit = {}
+
     /** Starts to watch. */
     fun start() = submit(WatchEvent.Started)
 
@@ -69,6 +72,9 @@
         if (isEnabled == isDelegated) submit(if (isEnabled) WatchEvent.Resumed else WatchEvent.Delegated)
     }
 
+    /** Gives up a waiting watch, as the store seems not to serve this router, for [reason]. */
+    fun storeUnresponsive(reason: String) = submit(WatchEvent.StoreUnresponsive(reason))
+
     private fun submit(event: WatchEvent) {
         val before = state
         val step = reducer.reduce(before, event, scheduler.now())
@@ -77,6 +83,7 @@
         step.effects.forEach { execute(it) }
         scheduleTick()
         if (state.revision > before.revision) onNewRevision()
+        if (before.isWatchingStore && !state.isWatchingStore) onWatchEnded()
     }
 
     /** Logs the values that were removed or started to expire because of [event], unless a peer caused it. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.forwarding.peer
 
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
@@ -10,8 +11,8 @@
  *
  * All routers rank the addresses that they know by the same rendezvous hash, and the first [WATCHER_COUNT] usable ones
  * watch. The directory keeps the first [MAX_CANDIDATES] in that order, so that all routers soon know the same ones, and
- * its [seeds]. A router that fails is skipped for a while. After [MAX_FAILURES] failures in a row it is evicted,
- * unless it is a seed, until it makes contact or [EVICTION_TIME] has passed.
+ * its [seeds]. A router that fails, or turns out not to watch, is skipped for a while. After [MAX_FAILURES] failures in
+ * a row it is evicted, unless it is a seed, until it makes contact or [EVICTION_TIME] has passed.
  */
 internal class PeerDirectory(private val self: RouterAddress, private val seeds: List<RouterAddress>) {
     private val entries = HashMap<RouterAddress, Entry>()
@@ -34,13 +35,14 @@
     /** Records a request or response from [peer]. [isWatchingStore] is null if [peer] did not state it. */
     fun recordContact(peer: RouterAddress, now: Timestamp, isWatchingStore: Boolean? = null) {
         if (peer == self) return
-        val before = entries[peer]
-        val unusableUntil = when (isWatchingStore) {
-            null -> before?.unusableUntil
-            true -> null
-            false -> now + NOT_WATCHING_BACKOFF
+        val before = entries[peer] ?: Entry()
+        val contacted = before.copy(lastContactAt = now, failures = 0, evictedUntil = null)
+        entries[peer] = when {
+            isWatchingStore == null -> contacted
+            isWatchingStore -> contacted.copy(unusableUntil = null, refusals = 0)
+            peer in watchers(now) -> contacted.refused(now)
+            else -> contacted
         }
-        entries[peer] = Entry(lastContactAt = now, unusableUntil = unusableUntil)
         trim()
     }
 
@@ -82,7 +84,14 @@
         val failures: Int = 0,
         val unusableUntil: Timestamp? = null,
         val evictedUntil: Timestamp? = null,
+        val refusals: Int = 0,
     ) {
+        /** The entry after the router has said that it does not watch, though this one relied on that. */
+        fun refused(now: Timestamp): Entry {
+            val backoff = NOT_WATCHING_BACKOFF * (1 shl refusals.coerceAtMost(MAX_BACKOFF_DOUBLINGS))
+            return copy(unusableUntil = now + backoff, refusals = refusals + 1)
+        }
+
         fun isUsable(now: Timestamp): Boolean = unusableUntil.let { it == null || it <= now }
 
         fun isLive(now: Timestamp): Boolean = lastContactAt.let { it != null && now - it < LIVENESS_TIMEOUT }
@@ -99,7 +108,10 @@
         private const val RANK_KEY = "store-watchers"
         private const val MAX_ENTRIES = 64
         private const val MAX_FAILURES = 3
-        private val NOT_WATCHING_BACKOFF = 1.seconds
+
+        /** Short at first: a router that has just taken over may not watch yet. */
+        private val NOT_WATCHING_BACKOFF = 300.milliseconds
+        private const val MAX_BACKOFF_DOUBLINGS = 4
         private val FAILURE_BACKOFF = 3.seconds
         private val EVICTION_TIME = 60.seconds
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -11,9 +11,9 @@
 
 /**
  * Responds to the long polls of other routers: at once if this one has an update for the sender or does not watch the
- * store, otherwise soon after an update arrives or when the poll's waiting time is over. Updates in quick succession
- * are sent together, and senders with the same revisions share one serialized response. Polls beyond
- * [MAX_PENDING_POLLS] do not wait.
+ * store, otherwise soon after an update arrives, when it stops watching, or when the poll's waiting time is over.
+ * Updates in quick succession are sent together, and senders with the same revisions share one serialized response.
+ * Polls beyond [MAX_PENDING_POLLS] do not wait.
  */
 internal class PeerServer(
     private val scheduler: TaskScheduler,
@@ -26,7 +26,10 @@
     private var livePeersExpireAt: Timestamp? = null
 
     init {
-        prefixWatchers.values.forEach { it.onNewRevision = ::scheduleResponses }
+        prefixWatchers.values.forEach {
+            it.onNewRevision = ::scheduleResponses
+            it.onWatchEnded = ::respondToAll
+        }
     }
 
     /** Handles a request for [uri] of another router. [respond] is called once, at once or later. */
@@ -64,6 +67,13 @@
         }
     }
 
+    /** Others must learn at once that this router no longer watches for them. */
+    private fun respondToAll() {
+        val polls = pending.toList()
+        pending.clear()
+        polls.forEach { respondTo(it, body(it)) }
+    }
+
     private fun respondTo(poll: PeerPoll, body: String) =
         poll.respond(HttpReply(HttpResponseStatus.OK, body, "application/json"))
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -9,6 +9,7 @@
 import org.cicadaarch.dispatch.watch.WatchState
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
+import org.cicadaarch.forwarding.fleet.StoreProbe
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
@@ -22,6 +23,10 @@
  * A router that watches the store polls a random candidate at intervals, more often while the store does not respond.
  * Any other router keeps [CONCURRENT_POLLS] long polls open, each to one of the watching routers in turn, so that a
  * watching router which has lost the store unnoticed delays updates by no more than one poll.
+ *
+ * A watching router asks the store at intervals whether it is still served ([StoreProbe]) and says so to the others
+ * when it is not. A router that hears of none that watches stands in for them ([StandIn]). News of the store may take
+ * [bound] to reach all routers.
  */
 internal class PeerSync(
     private val self: RouterAddress,
@@ -29,33 +34,45 @@
     private val transport: PeerTransport,
     private val scheduler: TaskScheduler,
     private val prefixWatchers: Map<String, PrefixWatcher>,
+    private val storeProbe: StoreProbe,
+    bound: Duration,
 ) {
     private val directory = PeerDirectory(self, seeds)
     private val server = PeerServer(scheduler, directory, prefixWatchers)
     private val random = Random(self.hashCode())
     private val startedAt = scheduler.now()
     private var allPolledAt: Timestamp? = null
+    private val maxWait = minOf(PeerQuery.MAX_WAIT, bound * MAX_WAIT_SHARE)
+    private val standIn = StandIn(
+        scheduler = scheduler,
+        storeProbe = storeProbe,
+        maxSilence = maxWait + bound * RESPONSE_SHARE,
+        random = random,
+        onChange = ::updateRole,
+    )
     private var pollCount = random.nextInt(PeerDirectory.WATCHER_COUNT)
 
     /** Accepts the polls of other routers. */
     fun listen() = transport.listen(server::onRequest)
 
     /** Starts to poll other routers. */
-    fun start() = repeat(CONCURRENT_POLLS) { poller -> pollNext(poller) }
+    fun start() {
+        repeat(CONCURRENT_POLLS) { poller -> pollNext(poller) }
+        storeProbe.start(prefixWatchers.values)
+        standIn.start()
+    }
 
     private fun pollNext(poller: Int) {
         val now = scheduler.now()
         if (now - startedAt < STORE_READ_TIME && hasUnreadPrefix()) return scheduleNext(poller, READ_CHECK_INTERVAL)
-        val activeWatchers = directory.watchers(now)
-        val shouldWatch = self in activeWatchers
-        if (shouldWatch != isWatchEnabled()) setWatchEnabled(shouldWatch)
-        val others = activeWatchers - self
+        updateRole()
+        val others = directory.watchers(now) - self
         when {
-            !shouldWatch && others.isNotEmpty() -> {
+            !isWatchEnabled() && others.isNotEmpty() -> {
                 pollCount += 1
-                poll(others[pollCount.mod(others.size)], PeerQuery.MAX_WAIT) { result ->
-                    if (result == PollResult.FAILED) pollAllWatchers()
-                    scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else STORE_LOST_POLL_INTERVAL)
+                poll(others[pollCount.mod(others.size)], maxWait) { result ->
+                    if (result != PollResult.WATCHING) watcherLost()
+                    scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else TAKEOVER_POLL_INTERVAL)
                 }
             }
 
@@ -68,11 +85,19 @@
         }
     }
 
+    /** Watches the store if this router is one of those that should, or stands in for them. */
+    private fun updateRole() {
+        if (isStoreLost()) standIn.storeLost()
+        val shouldWatch = standIn.isActive || self in directory.watchers(scheduler.now())
+        if (shouldWatch != isWatchEnabled()) setWatchEnabled(shouldWatch)
+    }
+
     /**
-     * Polls all watching routers at once after one of them has failed, as others may have failed with it. So a change
-     * is delayed by one failed poll, however many of them are lost.
+     * Polls all watching routers at once after one of them was lost, as others may have been lost with it. So a change
+     * is delayed by one such poll, however many of them are lost.
      */
-    private fun pollAllWatchers() {
+    private fun watcherLost() {
+        standIn.watcherLost()
         val now = scheduler.now()
         if (allPolledAt.let { it != null && now - it < RESPONSE_TIMEOUT }) return
         allPolledAt = now
@@ -95,12 +120,13 @@
 
     private fun hasUnreadPrefix(): Boolean = prefixWatchers.values.any { it.state.revision == 0L }
 
+    private fun isStoreLost(): Boolean = hasUnreadPrefix() || prefixWatchers.values.any { it.state.failures > 0 }
+
     private fun pollInterval(): Duration {
-        val isStoreLost = hasUnreadPrefix() || prefixWatchers.values.any { it.state.failures > 0 }
         val isRecentlyStarted = scheduler.now() - startedAt < STARTUP_TIME
         val interval = when {
             isRecentlyStarted -> STARTUP_POLL_INTERVAL
-            isStoreLost -> STORE_LOST_POLL_INTERVAL
+            isStoreLost() -> STORE_LOST_POLL_INTERVAL
             else -> POLL_INTERVAL
         }
         return interval * random.nextDouble(MIN_JITTER, MAX_JITTER)
@@ -131,6 +157,7 @@
             return PollResult.FAILED
         }
         directory.recordContact(peer, now, response.isWatchingStore)
+        if (response.isWatchingStore) standIn.heardOfWatcher()
         response.routers.mapNotNull { PeerQuery.parseAddress(it) }.forEach { directory.addReported(it, now) }
         response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(peer, it.toUpdate()) }
         return if (response.isWatchingStore) PollResult.WATCHING else PollResult.NOT_WATCHING
@@ -161,6 +188,16 @@
         val POLL_INTERVAL = 1500.milliseconds
         val STORE_LOST_POLL_INTERVAL = 400.milliseconds
 
+        /** Pause before the next watching router is polled after one was lost. */
+        val TAKEOVER_POLL_INTERVAL = 100.milliseconds
+
+        /**
+         * Shares of the time that news may take: for the longest wait of a poll, and for the way of its response. After
+         * both, a router that has heard of none that watches stands in.
+         */
+        const val MAX_WAIT_SHARE = 0.5
+        const val RESPONSE_SHARE = 0.1
+
         /**
          * Time to read the store before polling: full contents for many routers that start at once would overload the
          * seeds.
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/QuarantineRouter.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/QuarantineRouter.kt
@@ -5,6 +5,7 @@
 import org.cicadaarch.dispatch.request.HeldRequests
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
+import org.cicadaarch.forwarding.fleet.StoreProbe
 import org.cicadaarch.forwarding.peer.PeerSync
 import org.cicadaarch.forwarding.quarantine.CrashRecordReader
 import org.cicadaarch.forwarding.quarantine.CrashRecordStore
@@ -37,7 +38,15 @@
         onValues = quarantine::recordsChanged,
         batchingDelay = CrashRecordStore.BATCHING_DELAY,
     )
-    private val peerSync = PeerSync(address, seeds, network.transportOf(address), time, mapOf(PREFIX to watcher))
+    private val peerSync = PeerSync(
+        self = address,
+        seeds = seeds,
+        transport = network.transportOf(address),
+        scheduler = time,
+        prefixWatchers = mapOf(PREFIX to watcher),
+        storeProbe = StoreProbe(storeClient, time, bound = SimulatedRouter.CONFIGURATION_APPLY_TIME),
+        bound = SimulatedRouter.CONFIGURATION_APPLY_TIME,
+    )
     private var held = HeldRequests()
 
     init {
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedRouter.kt
@@ -1,7 +1,9 @@
 package org.cicadaarch.forwarding.simulation
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
+import org.cicadaarch.forwarding.fleet.StoreProbe
 import org.cicadaarch.forwarding.fleet.TargetRemovalPolicy
 import org.cicadaarch.forwarding.peer.PeerSync
 import org.cicadaarch.model.RouterAddress
@@ -17,7 +19,9 @@
     removalPolicy: TargetRemovalPolicy,
 ) {
     private val storeClient = SimulatedStoreClient(store, time)
-    private val configuration = watcher(CONFIGURATION_PREFIX, Duration.ZERO, Duration.ZERO) {}
+    private val configuration = watcher(CONFIGURATION_PREFIX, Duration.ZERO, Duration.ZERO) {
+        knownConfiguration = it
+    }
     private val targets = watcher(TARGET_PREFIX, removalPolicy.gracePeriod, removalPolicy.minOutage) {
         known = it
     }
@@ -27,12 +31,24 @@
         transport = network.transportOf(address),
         scheduler = time,
         prefixWatchers = mapOf(CONFIGURATION_PREFIX to configuration, TARGET_PREFIX to targets),
+        storeProbe = StoreProbe(storeClient, time, bound = CONFIGURATION_APPLY_TIME),
+        bound = CONFIGURATION_APPLY_TIME,
     )
 
     /** The targets that this router knows, by key. */
     var known = emptyMap<String, String>()
         private set
 
+    /** The configuration that this router knows, by key. */
+    var knownConfiguration = emptyMap<String, String>()
+        private set
+
+    /** When this router last read from the store. */
+    val lastReadAt: Timestamp? get() = storeClient.lastReadAt
+
+    /** The calls of this router that the store has received, in the price of a full read. */
+    val storeCalls: Double get() = storeClient.callCount
+
     /** When the last disturbance of this router ended; null while one goes on. */
     var calmSince: Timestamp? = Timestamp(0)
         private set
@@ -57,7 +73,19 @@
         storeClient.reject()
     }
 
-    /** Ends [cut] and [reject]. */
+    /** The store gives this router no response from now on, also to the calls that wait. */
+    fun ignore() {
+        calmSince = null
+        storeClient.cut(withReset = false)
+    }
+
+    /** The store resets the connections of this router from now on, and then gives no response. */
+    fun reset() {
+        calmSince = null
+        storeClient.cut(withReset = true)
+    }
+
+    /** Ends all disturbances. */
     fun restore() {
         calmSince = time.now
         network.cutOff -= address
@@ -74,5 +102,6 @@
     companion object {
         const val CONFIGURATION_PREFIX = "configuration/"
         const val TARGET_PREFIX = "targets/"
+        val CONFIGURATION_APPLY_TIME = 2.seconds
     }
 }
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedStoreClient.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedStoreClient.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.store.StoreCommand
 import org.cicadaarch.model.store.StoreResult
 import org.cicadaarch.store.Store
@@ -12,6 +13,14 @@
     private val open = LinkedHashSet<Call>()
     private var link = Link.SERVED
 
+    /** When the store last received a read of values. */
+    var lastReadAt: Timestamp? = null
+        private set
+
+    /** The calls that were sent, in the price of a full read. */
+    var callCount = 0.0
+        private set
+
     /** The store answers all calls with an error from now on. */
     fun reject() {
         link = Link.REJECTED
@@ -33,6 +42,8 @@
     override fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) {
         val call = Call(onResult)
         open += call
+        callCount += if ((command as? StoreCommand.Read)?.mayBeStale == true) STALE_READ_PRICE else 1.0
+        if (command is StoreCommand.ReadPrefix || command is StoreCommand.AwaitChange) lastReadAt = time.now
         val wait = (command as? StoreCommand.AwaitChange)?.timeout ?: Duration.ZERO
         time.after(wait + REQUEST_TIMEOUT) { call.end(StoreResult.Unanswered("no response", isTimeout = true)) }
         time.after(DELAY) { arrive(command, call) }
@@ -59,5 +70,6 @@
     private companion object {
         val DELAY = 2.milliseconds
         val REQUEST_TIMEOUT = 1.seconds
+        const val STALE_READ_PRICE = 0.1
     }
 }
--- a/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreCommand.kt
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreCommand.kt
@@ -6,8 +6,11 @@
  * A command to the platform's key-value store. Values are UTF-8 text; keys are paths separated by slashes.
  */
 sealed class StoreCommand {
-    /** Reads [key]. Returns [StoreResult.Values] with one value, or none if the key does not exist. */
-    data class Read(val key: String) : StoreCommand()
+    /**
+     * Reads [key]. Returns [StoreResult.Values] with one value, or none if the key does not exist. The value
+     * [mayBeStale] if a cheap read will do.
+     */
+    data class Read(val key: String, val mayBeStale: Boolean = false) : StoreCommand()
 
     /** Reads up to [limit] values whose keys start with [prefix], in key order, starting at the key [from]. */
     data class ReadPrefix(val prefix: String, val from: String = prefix, val limit: Int) : StoreCommand()
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdMessages.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdMessages.kt
@@ -41,6 +41,7 @@
     val key: Base64Text,
     @SerialName("range_end") val rangeEnd: Base64Text? = null,
     val limit: Int64 = 0,
+    val serializable: Boolean = false,
 )
 
 @Serializable
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdStore.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdStore.kt
@@ -24,7 +24,7 @@
     private val client = HttpClient(eventLoopGroup, endpoint)
 
     override fun execute(command: StoreCommand, onResult: (StoreResult) -> Unit) = when (command) {
-        is StoreCommand.Read -> read(RangeRequest(key = command.key), onResult)
+        is StoreCommand.Read -> read(RangeRequest(key = command.key, serializable = command.mayBeStale), onResult)
         is StoreCommand.ReadPrefix -> read(prefixRequest(command), onResult)
         is StoreCommand.CompareAndSet -> write(command.key, command.expected, putOperation(command), onResult)
         is StoreCommand.CompareAndDelete -> write(command.key, command.expected, deleteOperation(command), onResult)
