Bound what clients, the store and other routers send in sum

Cause: each connection had a limit, the sum had none; one response of the store or of another router could be 64 MB, more than the memory left.

Change: MemoryBudget bounds bodies of requests, responses of targets until the client has taken them, and responses of the store and other routers, each by a share of what the process may use. Beyond it a request gets 503 with Retry-After and is not run. A refused client has a second to read that. A client of the peer port that reads nothing gets no second reply.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -25,7 +27,10 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import java.util.concurrent.TimeUnit
+import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.exchange.ForwardingExchange
+import org.cicadaarch.forwarding.exchange.RetryAfterHeader
 import org.cicadaarch.logging.LogEvents
 
 /**
@@ -37,11 +42,12 @@
     ClientResponseWriter {
     private lateinit var context: ChannelHandlerContext
     private lateinit var timeouts: ClientTimeouts
-    private val pipelined = ArrayDeque<HttpObject>()
+    private val pipelined = PipelinedMessages(listener.exchanges.requestMemory)
     private var incoming: IncomingRequest? = null
     private var exchange: ForwardingExchange? = null
     private var isKeepAlive = true
     private var isClosing = false
+    private var isLingering = false
 
     override val isWritable: Boolean get() = context.channel().isWritable
 
@@ -52,11 +58,8 @@
 
     /** Responds with [status] to a request that cannot be read, and closes the connection. */
     fun refuse(status: HttpResponseStatus) {
-        incoming?.body?.release()
-        incoming = null
-        isKeepAlive = false
         LogEvents.info("request-unreadable") { "status" to status.code() }
-        respond(status, DefaultHttpHeadersFactory.headersFactory().newHeaders(), Unpooled.EMPTY_BUFFER)
+        refuseAndClose(status, DefaultHttpHeadersFactory.headersFactory().newHeaders())
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -80,7 +83,6 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        pipelined.forEach { ReferenceCountUtil.release(it) }
         pipelined.clear()
         incoming?.body?.release()
         incoming = null
@@ -95,13 +97,13 @@
         context.close()
     }
 
-    override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
+    override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf, onSent: () -> Unit) {
         headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         val response =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)
         setConnectionHeader(response)
-        val written = context.writeAndFlush(response)
-        if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        val written = context.writeAndFlush(response).addListener { onSent() }
+        if (!isKeepAlive) closeAfter(written)
         finishRequest()
     }
 
@@ -118,7 +120,7 @@
 
     override fun endResponse() {
         val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (!isKeepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        if (!isKeepAlive) closeAfter(written)
         finishRequest()
     }
 
@@ -140,12 +142,43 @@
             return
         }
         timeouts.requestFinished()
-        while (pipelined.isNotEmpty() && exchange == null && !isClosing) process(pipelined.removeFirst())
+        while (!pipelined.isEmpty && exchange == null && !isClosing) process(pipelined.removeFirst())
     }
 
     private fun enqueue(message: HttpObject) {
-        pipelined.addLast(message)
-        if (pipelined.size > MAX_PIPELINED_MESSAGES) context.close()
+        if (!pipelined.add(message)) context.close()
+    }
+
+    /** There is no memory for the request, which was not read in full and so is not run. */
+    private fun refuseForMemory() {
+        val status = HttpResponseStatus.SERVICE_UNAVAILABLE
+        listener.exchanges.recordRefusal(status, "no-memory")
+        val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+        headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfterHeader.text(ExchangeManager.RETRY_AFTER))
+        refuseAndClose(status, headers)
+    }
+
+    private fun refuseAndClose(status: HttpResponseStatus, headers: HttpHeaders) {
+        incoming?.body?.release()
+        incoming = null
+        isKeepAlive = false
+        isLingering = true
+        respond(status, headers, Unpooled.EMPTY_BUFFER)
+    }
+
+    /** Closes the connection after the response that [written] completes. */
+    private fun closeAfter(written: ChannelFuture) {
+        if (isLingering) written.addListener { linger() } else written.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    /**
+     * Ends this side of the connection, and drops what the client still sends for a while: if unread bytes were left
+     * when the connection is closed, the client would receive a reset in place of the response.
+     */
+    private fun linger() {
+        val channel = context.channel() as? DuplexChannel ?: return
+        channel.shutdownOutput()
+        context.executor().schedule({ context.close() }, LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     private fun process(message: HttpObject) {
@@ -168,7 +201,7 @@
             request.headers().getAll(HttpHeaderNames.HOST).size != 1 -> refuse(HttpResponseStatus.BAD_REQUEST)
 
             else -> {
-                incoming = IncomingRequest(request, Unpooled.buffer(minOf(length.toInt(), INITIAL_BODY_BYTES)))
+                incoming = IncomingRequest(request, RequestBody(listener.exchanges.requestMemory))
                 if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(continueResponse())
             }
         }
@@ -180,10 +213,12 @@
             part.release()
             return
         }
-        current.body.writeBytes(part.content())
+        val hasMemory = current.body.add(part.content())
         part.release()
-        if (current.body.readableBytes() > listener.limits.bodyBytes) {
+        if (current.body.bytes.readableBytes() > listener.limits.bodyBytes) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        } else if (!hasMemory) {
+            refuseForMemory()
         } else if (part is LastHttpContent) {
             incoming = null
             timeouts.requestRead()
@@ -204,12 +239,10 @@
     private fun continueResponse() =
         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
 
-    private class IncomingRequest(val head: HttpRequest, val body: ByteBuf)
+    private class IncomingRequest(val head: HttpRequest, val body: RequestBody)
 
     private companion object {
-        const val MAX_PIPELINED_MESSAGES = 64
-
-        /** The buffer of a body grows as its bytes arrive: a client may state any length and send nothing. */
-        const val INITIAL_BODY_BYTES = 4 * 1024
+        /** Time for a client to receive a refusal while it still sends the request. */
+        const val LINGER_MILLISECONDS = 1_000L
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -16,6 +16,7 @@
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.store.MemoryBudget
 
 /**
  * What a [ForwardingExchange] needs besides the client request, and where it reports progress: metrics, the log and the
@@ -31,7 +32,7 @@
     val configurationVersion: Long,
     val connectionPool: TargetConnectionPool,
     val format: HeaderFormat,
-    val responseMemory: ResponseMemory,
+    val responseMemory: MemoryBudget,
     val quarantine: QuarantineManager,
     private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -31,6 +31,7 @@
 import org.cicadaarch.forwarding.target.TargetKey
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.store.MemoryBudget
 
 /**
  * Manages the open requests of a router: finds the route of each, runs the dispatch reducer and executes its effects.
@@ -45,7 +46,7 @@
     private val quarantine: QuarantineManager,
 ) {
     private var reducer = DispatchReducer(settings)
-    private val responseMemory = ResponseMemory.ofHeap()
+    private val responseMemory = MemoryBudget.ofProcess(RESPONSE_MEMORY_SHARE)
     private val openExchanges = HashMap<ExchangeId, ForwardingExchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isProcessing = false
@@ -72,6 +73,9 @@
     /** The client limits in force. */
     val limits: ClientLimits get() = routingTable?.limits ?: DEFAULT_LIMITS
 
+    /** The memory for what clients send. */
+    val requestMemory = MemoryBudget.ofProcess(REQUEST_MEMORY_SHARE, maxShare = 0.5)
+
     /** Number of requests that have not ended. */
     val openCount: Int get() = openExchanges.size
 
@@ -124,7 +128,7 @@
 
     /** Ends [exchange] after the client closed its connection. */
     fun clientDisconnected(exchange: ForwardingExchange) {
-        if (heldExchanges.remove(exchange)) exchange.request.body.release() else exchange.clientDisconnected()
+        if (heldExchanges.remove(exchange)) exchange.request.release() else exchange.clientDisconnected()
     }
 
     private fun releaseHeld() {
@@ -198,12 +202,8 @@
         return routes.route(host, exchange.request.uri.substringBefore('?'))
     }
 
-    private fun refuse(
-        exchange: ForwardingExchange,
-        status: HttpResponseStatus,
-        reason: String,
-        requestId: String? = null,
-    ) {
+    /** Records that a request with [requestId] is refused with [status] for [reason]. */
+    fun recordRefusal(status: HttpResponseStatus, reason: String, requestId: String? = null) {
         LogEvents.info("request-refused") {
             "request" to requestId
             "status" to status.code()
@@ -211,12 +211,21 @@
             "version" to routingTable?.version
         }
         metrics.recordRequest(service = null, status.code(), reason)
+    }
+
+    private fun refuse(
+        exchange: ForwardingExchange,
+        status: HttpResponseStatus,
+        reason: String,
+        requestId: String? = null,
+    ) {
+        recordRefusal(status, reason, requestId)
         val retryAfter = RETRY_AFTER.takeIf { status == HttpResponseStatus.SERVICE_UNAVAILABLE }
         exchange.refuse(status, retryAfter)
     }
 
     private fun ended(exchange: ForwardingExchange) {
-        if (openExchanges.remove(exchange.context.dispatchRequest.id) != null) exchange.request.body.release()
+        if (openExchanges.remove(exchange.context.dispatchRequest.id) != null) exchange.request.release()
     }
 
     private fun submit(event: DispatchEvent) {
@@ -296,18 +305,23 @@
         submit(DispatchEvent.Tick)
     }
 
-    private companion object {
-        val HASH: LongHashFunction = LongHashFunction.xx3()
+    companion object {
+        /** When a client that was refused for want of memory or of a configuration may come back. */
         val RETRY_AFTER = 250.milliseconds
+        private val HASH: LongHashFunction = LongHashFunction.xx3()
+
+        /** Bodies of requests take up to twice their size while they grow, and are kept until the response. */
+        private const val REQUEST_MEMORY_SHARE = 0.25
+        private const val RESPONSE_MEMORY_SHARE = 0.125
 
         /**
          * Bounds the memory for held requests. Further ones are started at once and refused while there is no
          * configuration.
          */
-        const val MAX_HELD_REQUESTS = 512
+        private const val MAX_HELD_REQUESTS = 512
 
         /** In force until the first configuration is received. */
-        val DEFAULT_LIMITS = ClientLimits(
+        private val DEFAULT_LIMITS = ClientLimits(
             headerBytes = 16 * 1024,
             bodyBytes = 4 * 1024 * 1024,
             headerTimeout = 3.seconds,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -74,7 +74,7 @@
         val response = checkNotNull(bufferedResponse) { "There is no buffered response to deliver." }
         bufferedResponse = null
         context.ended(response.status.code(), reason = null)
-        client.respond(response.status, response.headers, response.body)
+        client.respond(response.status, response.headers, response.body, onSent = response::freeMemory)
     }
 
     /** Ends the request with an error status, or closes the connection if the response has already started. */
@@ -91,7 +91,12 @@
             is RequestFailure.MayHaveRun -> HttpResponseStatus.BAD_GATEWAY
             is RequestFailure.TimedOut -> HttpResponseStatus.GATEWAY_TIMEOUT
         }
-        if (failure is RequestFailure.NotRun) headers.set(HttpHeaderNames.RETRY_AFTER, seconds(failure.retryAfter))
+        if (failure is RequestFailure.NotRun) {
+            headers.set(
+                HttpHeaderNames.RETRY_AFTER,
+                RetryAfterHeader.text(failure.retryAfter),
+            )
+        }
         context.ended(status.code(), failure.reason)
         client.respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
@@ -99,8 +104,8 @@
     /** Responds with [status] to a request that was not passed to the dispatch reducer. */
     fun refuse(status: HttpResponseStatus, retryAfter: Duration? = null) {
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
-        if (retryAfter != null) headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter))
-        request.body.release()
+        if (retryAfter != null) headers.set(HttpHeaderNames.RETRY_AFTER, RetryAfterHeader.text(retryAfter))
+        request.release()
         client.respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
@@ -117,14 +122,24 @@
     }
 
     private fun releaseBufferedResponse() {
-        bufferedResponse?.body?.release()
+        bufferedResponse?.run {
+            body.release()
+            freeMemory()
+        }
         bufferedResponse = null
     }
 
-    private fun seconds(duration: Duration): String =
-        (duration.inWholeMilliseconds / MILLISECONDS_PER_SECOND).toString()
-
-    private class BufferedResponse(val status: HttpResponseStatus, val headers: HttpHeaders, val body: ByteBuf)
+    /** A complete response, whose [heldBytes] count until it has been sent. */
+    private inner class BufferedResponse(
+        val status: HttpResponseStatus,
+        val headers: HttpHeaders,
+        val body: ByteBuf,
+        private val heldBytes: Int,
+    ) {
+        fun freeMemory() {
+            context.responseMemory.resize(before = heldBytes, after = 0)
+        }
+    }
 
     private inner class Attempt(private val effect: DispatchEffect.Send) : ResponseListener {
         val number = effect.attempt
@@ -240,8 +255,9 @@
 
                 else -> {
                     if (status.codeClass() == HttpStatusClass.SUCCESS) recordSuccess()
-                    bufferedResponse = BufferedResponse(status, responseHeaders(response), body)
+                    bufferedResponse = BufferedResponse(status, responseHeaders(response), body, heldBytes)
                     body = Unpooled.EMPTY_BUFFER
+                    heldBytes = 0
                     finish(AttemptResult.Answered(status.code(), isDelivered = false))
                 }
             }
@@ -359,7 +375,6 @@
     }
 
     private companion object {
-        const val MILLISECONDS_PER_SECOND = 1_000.0
         const val EVENT_STREAM = "text/event-stream"
         val PROGRESS_INTERVAL = 100.milliseconds
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -26,7 +27,8 @@
  *
  * [onRequest] is called with the path and query of each request and a function that sends the reply, which it may call
  * at once or later. Request bodies are ignored. Large replies are compressed for clients that accept it. A pipelined
- * request waits until the one before it has its reply; a connection with more than [MAX_PIPELINED_REQUESTS] is closed.
+ * request waits until the reply to the one before it has been sent, so that a client which reads nothing gets no more;
+ * a connection with more than [MAX_PIPELINED_REQUESTS] is closed.
  */
 internal class HttpEndpoint(
     private val address: RouterAddress,
@@ -88,9 +90,10 @@
         }
 
         private fun finish(context: ChannelHandlerContext, reply: HttpReply) {
-            write(context, reply)
-            isBusy = false
-            handleNext(context)
+            write(context, reply).addListener {
+                isBusy = false
+                handleNext(context)
+            }
         }
 
         @Deprecated("Deprecated in Netty's ChannelHandler, still called for inbound failures.")
@@ -99,12 +102,12 @@
             context.close()
         }
 
-        private fun write(context: ChannelHandlerContext, reply: HttpReply) {
+        private fun write(context: ChannelHandlerContext, reply: HttpReply): ChannelFuture {
             val content = Unpooled.copiedBuffer(reply.body, Charsets.UTF_8)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status, content)
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
             if (reply.body.isNotEmpty()) response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
-            context.writeAndFlush(response)
+            return context.writeAndFlush(response)
         }
     }
 
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdWatchHandler.kt
@@ -60,8 +60,9 @@
     private fun readContent(context: ChannelHandlerContext, part: HttpContent) {
         part.content().forEachByte { byte ->
             if (byte == NEWLINE) handleLine(context) else line.write(byte.toInt())
-            true
+            line.size() <= MAX_LINE_BYTES
         }
+        if (line.size() > MAX_LINE_BYTES) end(context, StoreResult.Unanswered("watch message too long"))
     }
 
     private fun handleLine(context: ChannelHandlerContext) {
@@ -112,6 +113,7 @@
     }
 
     private companion object {
+        const val MAX_LINE_BYTES = 8 * 1024 * 1024
         const val NEWLINE = '\n'.code.toByte()
     }
 }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/HttpClient.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpContentDecompressor
-import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetSocketAddress
@@ -39,8 +38,14 @@
         } else {
             channel.eventLoop().execute {
                 when {
-                    channel.isActive -> send(channel, call, deadline, onOutcome)
-                    else -> exchangeOnNewConnection(call, deadline, onOutcome)
+                    channel.pipeline().get(
+                        HttpExchangeHandler::class.java,
+                    )?.isAvailable == true -> send(channel, call, deadline, onOutcome)
+
+                    else -> {
+                        channel.close()
+                        exchangeOnNewConnection(call, deadline, onOutcome)
+                    }
                 }
             }
         }
@@ -51,7 +56,7 @@
      * established within [timeout], passes the reason to [onNotSent].
      */
     fun stream(call: HttpCall, timeout: Duration, handler: ChannelHandler, onNotSent: (String) -> Unit) {
-        connect(timeout, { listOf(handler) }) { future ->
+        connect(timeout, { listOf(it, handler) }) { future ->
             when {
                 future.isSuccess -> future.channel().writeAndFlush(call.toRequest(endpoint))
                 else -> onNotSent(future.cause().toString())
@@ -68,8 +73,8 @@
         deadline: TimeSource.Monotonic.ValueTimeMark,
         onOutcome: (HttpOutcome) -> Unit,
     ) {
-        val handlers = {
-            listOf(HttpContentDecompressor(0), HttpObjectAggregator(MAX_RESPONSE_BYTES), HttpExchangeHandler())
+        val handlers = { decoder: StrictResponseDecoder ->
+            listOf(decoder, HttpContentDecompressor(MAX_INFLATED_BYTES), HttpExchangeHandler(decoder, RESPONSE_MEMORY))
         }
         connect(-deadline.elapsedNow(), handlers) { future ->
             when {
@@ -98,7 +103,11 @@
     // A timeout on one connection suggests that the idle connections are dead, too.
     private fun closeIdleConnections() = generateSequence { idleConnections.pollFirst() }.forEach { it.close() }
 
-    private fun connect(timeout: Duration, handlers: () -> List<ChannelHandler>, onDone: (ChannelFuture) -> Unit) {
+    private fun connect(
+        timeout: Duration,
+        handlers: (StrictResponseDecoder) -> List<ChannelHandler>,
+        onDone: (ChannelFuture) -> Unit,
+    ) {
         Bootstrap()
             .group(eventLoopGroup)
             .channel(NioSocketChannel::class.java)
@@ -114,17 +123,21 @@
     private fun connectTimeoutMillis(timeout: Duration): Int =
         timeout.inWholeMilliseconds.coerceIn(1, Int.MAX_VALUE.toLong()).toInt()
 
-    private inner class PipelineInitializer(private val handlers: () -> List<ChannelHandler>) :
+    private inner class PipelineInitializer(private val handlers: (StrictResponseDecoder) -> List<ChannelHandler>) :
         ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             openConnections.add(channel)
             channel.closeFuture().addListener { idleConnections.remove(channel) }
-            channel.pipeline().addLast(StrictResponseDecoder()).addLast(HttpRequestEncoder())
-            handlers().forEach { channel.pipeline().addLast(it) }
+            channel.pipeline().addLast(HttpRequestEncoder())
+            handlers(StrictResponseDecoder()).forEach { channel.pipeline().addLast(it) }
         }
     }
 
     private companion object {
-        const val MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+        /** What one read of a compressed response may inflate to. */
+        const val MAX_INFLATED_BYTES = 8 * 1024 * 1024
+
+        /** For the responses to all clients of this process, which are few. */
+        val RESPONSE_MEMORY = MemoryBudget.ofProcess(share = 0.125, maxShare = 0.5)
     }
 }
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/framing/StrictResponseDecoder.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/framing/StrictResponseDecoder.kt
@@ -23,6 +23,9 @@
     /** Whether the next response belongs to a HEAD request and so has no body. Set before that request is sent. */
     var awaitsResponseToHead = false
 
+    /** Whether bytes have been received beyond what was decoded: the start of another response. */
+    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (body.isActive) return body.decode(buffer, out)
         super.decode(context, buffer, out)
