--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/target/TargetConnection.kt
@@ -27,8 +27,8 @@
  *
  * Responses to other requests than the current one are skipped, up to [MAX_SKIPPED_BYTES]. A response that names no
  * request proves nothing: it is never taken as a refusal, and once the connection has carried another attempt, whose
- * response it may repeat, the current one fails. The connection is closed if it receives bytes while it is idle, or if
- * the response ends before the request was written in full.
+ * response it may repeat, the current one fails. The connection is closed if it receives bytes beyond a response or
+ * while it is idle, or if the response ends before the request was written in full.
  */
 internal class TargetConnection(
     val key: TargetKey,
@@ -160,7 +160,8 @@
         attempt = null
         hasCarriedAttempt = true
         idleSince = NanoTimeClock.now()
-        val isReusable = running.isReusable && running.written.isSuccess && context.channel().isActive
+        val isReusable = running.isReusable && running.written.isSuccess && context.channel().isActive &&
+            !decoder.hasUnreadBytes
         setAutoRead(true)
         running.listener.onComplete()
         if (isReusable) onIdle(this) else context.close()
--- a/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
+++ b/cicadaarch-router/src/main/kotlin/org/cicadaarch/router/target/TargetClient.kt
@@ -47,7 +47,8 @@
         val idle = idleConnections[key] ?: return null
         while (true) {
             val connection = idle.pollLast() ?: return null
-            if (connection.channel.isActive && connection.isFresh()) return connection.channel
+            val channel = connection.channel
+            if (channel.isActive && connection.isFresh() && !hasUnreadBytes(channel)) return channel
             connection.channel.close()
         }
     }
@@ -108,7 +109,7 @@
 
     private fun keep(key: ConnectionKey, channel: Channel) {
         val idle = idleConnections.computeIfAbsent(key) { ConcurrentLinkedDeque() }
-        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS) {
+        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS || hasUnreadBytes(channel)) {
             channel.close()
             return
         }
@@ -117,6 +118,10 @@
         channel.closeFuture().addListener { idle.remove(connection) }
     }
 
+    /** Such bytes are the start of a response to no request. */
+    private fun hasUnreadBytes(channel: Channel): Boolean =
+        channel.pipeline().get(StrictResponseDecoder::class.java)?.hasUnreadBytes ?: true
+
     private data class ConnectionKey(val eventLoop: EventLoop, val address: RouterAddress)
 
     /** A connection that has been idle since [since], in nanoseconds of the monotonic clock. */
