Count a connection as idle only when its response is sent

Cause: a connection was idle as soon as the response had been handed to the transport, which drops what waits when it is closed.

Change: it is idle when nothing waits to be sent. A client that takes nothing for the idle timeout is closed as before, and a stop ends at the grace period.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -51,9 +51,14 @@
 
     override val isWritable: Boolean get() = context.channel().isWritable
 
-    /** Closes the connection unless a request is being read or served. */
+    /** Bytes of responses that the client has not taken yet. */
+    val unsentBytes: Long
+        get() = context.channel().unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() - it.currentProgress() }
+            ?: 0
+
+    /** Closes the connection unless a request is being read or served, or a response is being sent. */
     fun closeIfIdle() {
-        if (exchange == null && incoming == null) context.close()
+        if (exchange == null && incoming == null && unsentBytes <= 0) context.close()
     }
 
     /** Responds with [status] to a request that cannot be read, and closes the connection. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientTimeouts.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientTimeouts.kt
@@ -10,7 +10,8 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * Enforces the limits on how long a client may take to send a request and how long its connection may be idle.
+ * Enforces the limits on how long a client may take to send a request, how long it may take nothing of a response, and
+ * how long its connection may be idle.
  *
  * Each check reads the limits then in force. A connection that is already idle gets a longer idle timeout from a new
  * configuration, but not a shorter one.
@@ -21,6 +22,7 @@
     private var lastActivityAt: Timestamp = NanoTimeClock.now()
     private var idleTimeoutAtStart: Duration = Duration.ZERO
     private var timer: ScheduledFuture<*>? = null
+    private var unsentBytes = 0L
 
     /** The head of a request was read. */
     fun requestHeadRead() = enter(Phase.BODY)
@@ -28,8 +30,11 @@
     /** The whole request was read. */
     fun requestRead() = enter(Phase.RESPONDING)
 
-    /** The response was written. */
-    fun requestFinished() = enter(Phase.IDLE)
+    /** The response was handed over, though the client may not have taken all of it yet. */
+    fun requestFinished() {
+        enter(Phase.IDLE)
+        unsentBytes = handler.unsentBytes
+    }
 
     override fun channelActive(context: ChannelHandlerContext) {
         enter(Phase.IDLE)
@@ -58,6 +63,7 @@
     }
 
     private fun check(context: ChannelHandlerContext) {
+        if (phase == Phase.IDLE) noteProgressOfResponse()
         val timeout = when (phase) {
             Phase.IDLE, Phase.BODY -> maxOf(idleTimeoutAtStart, listener.limits.idleTimeout)
             Phase.HEAD, Phase.RESPONDING -> listener.limits.headerTimeout
@@ -71,6 +77,13 @@
         }
     }
 
+    /** A connection is not idle while its client takes the response, however slowly. */
+    private fun noteProgressOfResponse() {
+        val before = unsentBytes
+        unsentBytes = handler.unsentBytes
+        if (unsentBytes < before) lastActivityAt = NanoTimeClock.now()
+    }
+
     private fun schedule(context: ChannelHandlerContext, delay: Duration): ScheduledFuture<*> =
         context.executor().schedule({ check(context) }, delay.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
 
