--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
@@ -34,8 +34,10 @@
     private val dispatchers = List(routers) {
         SimulatedDispatcher(SETTINGS, time, target = simulatedTargets::get) { target, _ ->
             arrivals += time.now to target.entry.id
+            recordLoad(target)
         }
     }
+    private val record = LoadRecord()
     private var nextId = 0L
 
     /** Requests that no target was given. */
@@ -64,6 +66,15 @@
         return window.count { it.second == id }.toDouble() / window.size
     }
 
+    /** The worst five seconds: requests that reached a target over its load bound. */
+    fun worstWindow(): LoadRecord.Window = record.worstWindow()
+
+    private fun recordLoad(target: SimulatedTarget) {
+        val mean = simulatedTargets.values.sumOf { it.held }.toDouble() / targets
+        val bound = SETTINGS.imbalanceFactor * mean + BOUND_SLACK
+        if (time.now >= WARM_UP) record.add(time.now, isOverBound = target.held > bound)
+    }
+
     private fun entry(number: Int) = TargetEntry(
         id = TargetId("target-$number"),
         service = SERVICE,
@@ -96,6 +107,8 @@
     private companion object {
         val SERVICE = ServiceName("service")
         val ZONE = ZoneName("a")
+        const val BOUND_SLACK = 3.0
+        val WARM_UP = Timestamp(3_000)
         val WORK_TIME = 80.milliseconds
         const val SLOTS = 6
         const val UNSAFE_SHARE = 0.7
