Call the watch on a router's own account a fallback watch, and test its claims

Two tests of the watch's reducer are new: it claims to watch only after an answer since it took over, and it gives up a watch when a probe is not answered.

--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/WatchReducerTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/watch/WatchReducerTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -139,6 +140,32 @@
         assertEquals(WATCH_TIMEOUT, assertIs<StoreCommand.AwaitChange>(lastCall().command).timeout)
     }
 
+    /** Guards against a router that others rely on although the store has not answered it since it took over. */
+    @Test
+    fun `Given a router that takes over the watch, when the store has not answered yet, then it claims nothing`() {
+        startWith("a")
+        submit(WatchEvent.Delegated)
+        assertFalse(state.isWatchingStore)
+        submit(WatchEvent.Resumed)
+        assertFalse(state.isWatchingStore)
+        complete(StoreResult.Values(emptyList(), revision = 8))
+        assertTrue(state.isWatchingStore)
+        assertEquals(WATCH_TIMEOUT, assertIs<StoreCommand.AwaitChange>(lastCall().command).timeout)
+    }
+
+    /** Guards against a watch without a response that passes for one without news. */
+    @Test
+    fun `Given a watch, when a probe finds the store unresponsive, then the watch is given up and sent anew`() {
+        startWith("a")
+        val givenUp = state.callId
+        submit(WatchEvent.StoreUnresponsive("no answer"))
+        assertFalse(state.isWatchingStore)
+        submit(WatchEvent.CallCompleted(givenUp, deleted("targets/a", revision = 9)))
+        assertEquals(setOf("targets/a"), state.values.keys)
+        complete(StoreResult.Values(emptyList(), revision = 8))
+        assertTrue(state.isWatchingStore)
+    }
+
     @Test
     fun `Given a value missing after an outage, when it is written again, then it is kept`() {
         startWith("a", "b")
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/FallbackWatch.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/FallbackWatch.kt
@@ -15,7 +15,7 @@
  * So news reaches a router that the store serves, whichever others are lost: those that watched for all may be refused,
  * frozen or cut off together.
  */
-internal class StandIn(
+internal class FallbackWatch(
     private val scheduler: TaskScheduler,
     private val storeProbe: StoreProbe,
     private val maxSilence: Duration,
@@ -70,7 +70,7 @@
 
     private fun set(isActiveNow: Boolean) {
         isActive = isActiveNow
-        LogEvents.info("store-stand-in") {
+        LogEvents.info("store-fallback") {
             "active" to isActive
             "silentMillis" to (scheduler.now() - heardAt).inWholeMilliseconds
         }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -25,8 +25,8 @@
  * watching router which has lost the store unnoticed delays updates by no more than one poll.
  *
  * A watching router asks the store at intervals whether it is still served ([StoreProbe]) and says so to the others
- * when it is not. A router that hears of none that watches stands in for them ([StandIn]). News of the store may take
- * [bound] to reach all routers.
+ * when it is not. A router that hears of none that watches does so on its own account ([FallbackWatch]). News of the
+ * store may take [bound] to reach all routers.
  */
 internal class PeerSync(
     private val self: RouterAddress,
@@ -43,7 +43,7 @@
     private val startedAt = scheduler.now()
     private var allPolledAt: Timestamp? = null
     private val maxWait = minOf(PeerQuery.MAX_WAIT, bound * MAX_WAIT_SHARE)
-    private val standIn = StandIn(
+    private val fallbackWatch = FallbackWatch(
         scheduler = scheduler,
         storeProbe = storeProbe,
         maxSilence = maxWait + bound * RESPONSE_SHARE,
@@ -59,7 +59,7 @@
     fun start() {
         repeat(CONCURRENT_POLLS) { poller -> pollNext(poller) }
         storeProbe.start(prefixWatchers.values)
-        standIn.start()
+        fallbackWatch.start()
     }
 
     private fun pollNext(poller: Int) {
@@ -85,10 +85,10 @@
         }
     }
 
-    /** Watches the store if this router is one of those that should, or stands in for them. */
+    /** Watches the store if this router is one of those that should, or as a fallback. */
     private fun updateRole() {
-        if (isStoreLost()) standIn.storeLost()
-        val shouldWatch = standIn.isActive || self in directory.watchers(scheduler.now())
+        if (isStoreLost()) fallbackWatch.storeLost()
+        val shouldWatch = fallbackWatch.isActive || self in directory.watchers(scheduler.now())
         if (shouldWatch != isWatchEnabled()) setWatchEnabled(shouldWatch)
     }
 
@@ -97,7 +97,7 @@
      * is delayed by one such poll, however many of them are lost.
      */
     private fun watcherLost() {
-        standIn.watcherLost()
+        fallbackWatch.watcherLost()
         val now = scheduler.now()
         if (allPolledAt.let { it != null && now - it < RESPONSE_TIMEOUT }) return
         allPolledAt = now
@@ -157,7 +157,7 @@
             return PollResult.FAILED
         }
         directory.recordContact(peer, now, response.isWatchingStore)
-        if (response.isWatchingStore) standIn.heardOfWatcher()
+        if (response.isWatchingStore) fallbackWatch.heardOfWatcher()
         response.routers.mapNotNull { PeerQuery.parseAddress(it) }.forEach { directory.addReported(it, now) }
         response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(peer, it.toUpdate()) }
         return if (response.isWatchingStore) PollResult.WATCHING else PollResult.NOT_WATCHING
@@ -193,7 +193,7 @@
 
         /**
          * Shares of the time that news may take: for the longest wait of a poll, and for the way of its response. After
-         * both, a router that has heard of none that watches stands in.
+         * both, a router that has heard of none that watches does so itself.
          */
         const val MAX_WAIT_SHARE = 0.5
         const val RESPONSE_SHARE = 0.1
