Refuse a client only once while its connection lingers

A refused client has a second to read the refusal. If its head took until the header timeout meanwhile, it was refused a second time; and a planned stop closed such a connection at once. Found by reading; neither was seen.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -58,11 +58,13 @@
 
     /** Closes the connection unless a request is being read or served, or a response is being sent. */
     fun closeIfIdle() {
-        if (exchange == null && incoming == null && unsentBytes <= 0) context.close()
+        val isIdle = exchange == null && incoming == null && !isLingering && unsentBytes <= 0
+        if (isIdle) context.close()
     }
 
-    /** Responds with [status] to a request that cannot be read, and closes the connection. */
+    /** Responds with [status] to a request that cannot be read, and closes the connection. Does so only once. */
     fun refuse(status: HttpResponseStatus) {
+        if (isClosing) return
         LogEvents.info("request-unreadable") { "status" to status.code() }
         refuseAndClose(status, DefaultHttpHeadersFactory.headersFactory().newHeaders())
     }
