--- a/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreCommand.kt
+++ b/cicadaarch-model/src/main/kotlin/org/cicadaarch/model/store/StoreCommand.kt
@@ -7,8 +7,8 @@
  */
 sealed class StoreCommand {
     /**
-     * Reads [key]. Returns [StoreResult.Values] with one value, or none if the key does not exist. The value
-     * [mayBeStale] if a cheap read will do.
+     * Reads [key]. Returns [StoreResult.Values] with one value, or none if the key does not exist. With
+     * [mayBeStale], the store may answer with an older state, which costs it less.
      */
     data class Read(val key: String, val mayBeStale: Boolean = false) : StoreCommand()
 
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdMessages.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/EtcdMessages.kt
@@ -36,6 +36,7 @@
     )
 }
 
+/** A read. One that is [serializable] may be answered from the copy of any member, which may be stale. */
 @Serializable
 internal data class RangeRequest(
     val key: Base64Text,
