Ask the store only for routers that do not watch, and derive the times

What operators saw: a router that watches the store and heard of no other one for 1.2 s logged store-fallback and sent a needless read, again and again.

Cause: the fallback looked at what others say, not at the router's own role; and several of its times were constants beside the one bound that they serve.

Change: a router that watches needs no fallback. The check, the pause before the store is asked, the pause of a take-over, the back-off of a router that does not watch and the rarest probe are shares of ConfigApplyMs; a refused client lingers for HeaderTimeoutMs; the first watch waits as briefly as one can, since only its answer counts.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/watch/WatchReducer.kt
@@ -289,7 +289,9 @@
         private const val MAX_BACKOFF_DOUBLINGS = 3
         private val WATCH_TIMEOUT = 10.seconds
         private val RECOVERY_WATCH_TIMEOUT = 200.milliseconds
-        private val FIRST_WATCH_TIMEOUT = 20.milliseconds
+
+        /** As short as a watch can be: only that the store answers it counts. */
+        private val FIRST_WATCH_TIMEOUT = 1.milliseconds
 
         private const val PAGE_SIZE = 500
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -179,13 +179,14 @@
     }
 
     /**
-     * Ends this side of the connection, and drops what the client still sends for a while: if unread bytes were left
-     * when the connection is closed, the client would receive a reset in place of the response.
+     * Ends this side of the connection, and drops what the client still sends for as long as a head may take: if unread
+     * bytes were left when the connection is closed, the client would receive a reset in place of the response.
      */
     private fun linger() {
         val channel = context.channel() as? DuplexChannel ?: return
         channel.shutdownOutput()
-        context.executor().schedule({ context.close() }, LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
+        val lingerTime = listener.limits.headerTimeout.inWholeMilliseconds
+        context.executor().schedule({ context.close() }, lingerTime, TimeUnit.MILLISECONDS)
     }
 
     private fun process(message: HttpObject) {
@@ -247,9 +248,4 @@
         DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
 
     private class IncomingRequest(val head: HttpRequest, val body: RequestBody)
-
-    private companion object {
-        /** Time for a client to receive a refusal while it still sends the request. */
-        const val LINGER_MILLISECONDS = 1_000L
-    }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/StoreProbe.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/StoreProbe.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.dispatch.watch.WatchState
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.model.store.StoreCommand
@@ -16,7 +15,7 @@
  * News of the store may take [bound] to reach all routers. A router that watches for others finds out within a third of
  * that time that it is no longer served, which leaves them the rest to find another one.
  *
- * A store that does not answer is asked more and more rarely, up to [MAX_INTERVAL], until it does. All functions must
+ * A store that does not answer is asked more and more rarely, until it does. All functions must
  * be called in tasks of [scheduler].
  */
 internal class StoreProbe(private val store: Store, private val scheduler: TaskScheduler, bound: Duration) {
@@ -55,16 +54,14 @@
         }
     }
 
-    private fun nextInterval(): Duration =
-        (interval * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))).coerceAtMost(MAX_INTERVAL)
+    private fun nextInterval(): Duration = interval * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))
 
     private companion object {
         /** Nothing is stored there, so that the answer is short. */
         const val PROBE_KEY = "cicadaarch/probe"
-        const val MAX_DOUBLINGS = 4
+        const val MAX_DOUBLINGS = 3
         const val INTERVAL_SHARE = 0.2
         const val TIMEOUT_SHARE = 0.125
         val MIN_INTERVAL = 100.milliseconds
-        val MAX_INTERVAL = 3.seconds
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/FallbackWatch.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/FallbackWatch.kt
@@ -2,7 +2,6 @@
 
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.StoreProbe
 import org.cicadaarch.logging.LogEvents
@@ -12,6 +11,8 @@
  * that watches, or for half of that after one has stopped, and the store has answered a probe; until it hears of one
  * again.
  *
+ * A router that watches anyway, as [isWatching] tells, needs no fallback.
+ *
  * So news reaches a router that the store serves, whichever others are lost: those that watched for all may be refused,
  * frozen or cut off together.
  */
@@ -20,6 +21,7 @@
     private val storeProbe: StoreProbe,
     private val maxSilence: Duration,
     private val random: Random,
+    private val isWatching: () -> Boolean,
     private val onChange: () -> Unit,
 ) {
     private var heardAt = scheduler.now()
@@ -31,8 +33,8 @@
 
     /** Starts to check whether other routers are silent. */
     fun start() {
-        scheduler.schedule(timeLeft().coerceAtLeast(MIN_CHECK_INTERVAL)) {
-            if (!isActive && isSilent()) askStore()
+        scheduler.schedule(timeLeft().coerceAtLeast(maxSilence * CHECK_INTERVAL_SHARE)) {
+            if (isNeeded()) askStore()
             start()
         }
     }
@@ -48,7 +50,7 @@
     fun watcherLost() {
         if (hasLostWatcher) return
         hasLostWatcher = true
-        scheduler.schedule(timeLeft().coerceAtLeast(Duration.ZERO)) { if (!isActive && isSilent()) askStore() }
+        scheduler.schedule(timeLeft().coerceAtLeast(Duration.ZERO)) { if (isNeeded()) askStore() }
     }
 
     /** The store does not serve this router any longer. */
@@ -58,12 +60,12 @@
 
     /** After a random pause, as most of the other routers are about to ask as well. */
     private fun askStore() {
-        scheduler.schedule(MAX_PAUSE * random.nextDouble()) {
-            storeProbe.ask { isServed -> if (isServed && isSilent() && !isActive) set(true) }
+        scheduler.schedule(maxSilence * MAX_PAUSE_SHARE * random.nextDouble()) {
+            storeProbe.ask { isServed -> if (isServed && isNeeded()) set(true) }
         }
     }
 
-    private fun isSilent(): Boolean = timeLeft() <= Duration.ZERO
+    private fun isNeeded(): Boolean = !isWatching() && timeLeft() <= Duration.ZERO
 
     private fun timeLeft(): Duration =
         (if (hasLostWatcher) maxSilence / 2 else maxSilence) - (scheduler.now() - heardAt)
@@ -78,7 +80,8 @@
     }
 
     private companion object {
-        val MIN_CHECK_INTERVAL = 400.milliseconds
-        val MAX_PAUSE = 200.milliseconds
+        /** Shares of the silence allowed: between two checks, and for the longest pause before the store is asked. */
+        const val CHECK_INTERVAL_SHARE = 0.3
+        const val MAX_PAUSE_SHARE = 0.15
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerDirectory.kt
@@ -1,6 +1,6 @@
 package org.cicadaarch.forwarding.peer
 
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
@@ -12,9 +12,15 @@
  * All routers rank the addresses that they know by the same rendezvous hash, and the first [WATCHER_COUNT] usable ones
  * watch. The directory keeps the first [MAX_CANDIDATES] in that order, so that all routers soon know the same ones, and
  * its [seeds]. A router that fails, or turns out not to watch, is skipped for a while. After [MAX_FAILURES] failures in
- * a row it is evicted, unless it is a seed, until it makes contact or [EVICTION_TIME] has passed.
+ * a row it is evicted, unless it is a seed, until it makes contact or [EVICTION_TIME] has passed. News of the store may
+ * take [bound] to reach all routers.
  */
-internal class PeerDirectory(private val self: RouterAddress, private val seeds: List<RouterAddress>) {
+internal class PeerDirectory(
+    private val self: RouterAddress,
+    private val seeds: List<RouterAddress>,
+    bound: Duration,
+) {
+    private val notWatchingBackoff = bound * NOT_WATCHING_BACKOFF_SHARE
     private val entries = HashMap<RouterAddress, Entry>()
 
     init {
@@ -40,7 +46,7 @@
         entries[peer] = when {
             isWatchingStore == null -> contacted
             isWatchingStore -> contacted.copy(unusableUntil = null, refusals = 0)
-            peer in watchers(now) -> contacted.refused(now)
+            peer in watchers(now) -> contacted.refused(now, notWatchingBackoff)
             else -> contacted
         }
         trim()
@@ -87,8 +93,8 @@
         val refusals: Int = 0,
     ) {
         /** The entry after the router has said that it does not watch, though this one relied on that. */
-        fun refused(now: Timestamp): Entry {
-            val backoff = NOT_WATCHING_BACKOFF * (1 shl refusals.coerceAtMost(MAX_BACKOFF_DOUBLINGS))
+        fun refused(now: Timestamp, firstBackoff: Duration): Entry {
+            val backoff = firstBackoff * (1 shl refusals.coerceAtMost(MAX_BACKOFF_DOUBLINGS))
             return copy(unusableUntil = now + backoff, refusals = refusals + 1)
         }
 
@@ -109,8 +115,8 @@
         private const val MAX_ENTRIES = 64
         private const val MAX_FAILURES = 3
 
-        /** Short at first: a router that has just taken over may not watch yet. */
-        private val NOT_WATCHING_BACKOFF = 300.milliseconds
+        /** Share of the time that news may take. Short: a router that has just taken over may not watch yet. */
+        private const val NOT_WATCHING_BACKOFF_SHARE = 0.15
         private const val MAX_BACKOFF_DOUBLINGS = 4
         private val FAILURE_BACKOFF = 3.seconds
         private val EVICTION_TIME = 60.seconds
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -37,17 +37,19 @@
     private val storeProbe: StoreProbe,
     bound: Duration,
 ) {
-    private val directory = PeerDirectory(self, seeds)
+    private val directory = PeerDirectory(self, seeds, bound)
     private val server = PeerServer(scheduler, directory, prefixWatchers)
     private val random = Random(self.hashCode())
     private val startedAt = scheduler.now()
     private var allPolledAt: Timestamp? = null
+    private val takeoverPollInterval = bound * TAKEOVER_SHARE
     private val maxWait = minOf(PeerQuery.MAX_WAIT, bound * MAX_WAIT_SHARE)
     private val fallbackWatch = FallbackWatch(
         scheduler = scheduler,
         storeProbe = storeProbe,
         maxSilence = maxWait + bound * RESPONSE_SHARE,
         random = random,
+        isWatching = ::isWatchEnabled,
         onChange = ::updateRole,
     )
     private var pollCount = random.nextInt(PeerDirectory.WATCHER_COUNT)
@@ -72,7 +74,7 @@
                 pollCount += 1
                 poll(others[pollCount.mod(others.size)], maxWait) { result ->
                     if (result != PollResult.WATCHING) watcherLost()
-                    scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else TAKEOVER_POLL_INTERVAL)
+                    scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else takeoverPollInterval)
                 }
             }
 
@@ -188,8 +190,8 @@
         val POLL_INTERVAL = 1500.milliseconds
         val STORE_LOST_POLL_INTERVAL = 400.milliseconds
 
-        /** Pause before the next watching router is polled after one was lost. */
-        val TAKEOVER_POLL_INTERVAL = 100.milliseconds
+        /** Share of the time that news may take, for the pause before another router is polled after one was lost. */
+        const val TAKEOVER_SHARE = 0.05
 
         /**
          * Shares of the time that news may take: for the longest wait of a poll, and for the way of its response. After
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/peer/PeerDirectoryTest.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/peer/PeerDirectoryTest.kt
@@ -23,7 +23,7 @@
     fun `Given a small fleet, when all routers know each other, then every router watches`() {
         val few = fleet.take(7)
         few.forEach { self ->
-            val directory = PeerDirectory(self, seeds = few.take(3)).also { it.addAll(few) }
+            val directory = PeerDirectory(self, seeds = few.take(3), BOUND).also { it.addAll(few) }
             assertEquals(few.toSet(), directory.watchers(now).toSet())
         }
     }
@@ -65,8 +65,12 @@
 
     private fun directoryOf(self: RouterAddress): PeerDirectory {
         val order = fleet.shuffled(Random(self.hashCode()))
-        return PeerDirectory(self, seeds = fleet.take(3)).also { it.addAll(order) }
+        return PeerDirectory(self, seeds = fleet.take(3), BOUND).also { it.addAll(order) }
     }
 
     private fun PeerDirectory.addAll(routers: List<RouterAddress>) = routers.forEach { addReported(it, now) }
+
+    private companion object {
+        val BOUND = 2.seconds
+    }
 }
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/ConfigurationNewsSimulation.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/ConfigurationNewsSimulation.kt
@@ -54,7 +54,7 @@
         Choice.LAST_READERS -> routers.sortedByDescending { it.lastReadAt?.milliseconds }
 
         Choice.CANDIDATES -> {
-            val directory = PeerDirectory(self = addresses.first(), seeds = addresses)
+            val directory = PeerDirectory(addresses.first(), addresses, SimulatedRouter.CONFIGURATION_APPLY_TIME)
             val candidates = directory.candidates(time.now).map { address -> routers.first { it.address == address } }
             candidates + (routers - candidates.toSet())
         }
