Say in plain words what a membership scenario measures

Cause: the comments spoke of views that lose and of a fleet that is agreed, which a newcomer has to read twice. Change: comments only, also of the simulation of a plain service.

--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ScenarioResult.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ScenarioResult.kt
@@ -3,28 +3,29 @@
 import kotlin.time.Duration
 
 /**
- * What one run of a scenario showed. Times are since the fault, of the views that lost what they had to lose.
+ * What one run of a scenario showed. A router's view is its list of the others. Unless stated otherwise, times count from
+ * the fault until a view has dropped a router that the fault took away.
  */
 data class ScenarioResult(
-    /** Time until the whole fleet was agreed after its cold start, or null when it was not within the limit. */
+    /** Time from the cold start until all views were equal, or null if that took longer than the limit. */
     val joined: Duration?,
-    /** Time until the first view lost the first router that it had to lose. */
+    /** Time until the first view dropped its first router. */
     val first: Duration?,
-    /** The median over all views and routers to lose. */
+    /** The median over all views and all routers to drop. */
     val median: Duration?,
-    /** Time until the last view lost the last router, or null when some never did. */
+    /** Time until the last view dropped its last router, or null if one never did. */
     val all: Duration?,
-    /** Time from the end of the fault until all views were right again, or null when they were not in the limit. */
+    /** Time from the end of the fault until all views were right again, or null if that took longer than the limit. */
     val recovered: Duration?,
-    /** Losses from a view of a router that ran, was awake and was not cut off. */
+    /** How often a view dropped a router that ran, was awake and was not cut off. */
     val falseRemovals: Int,
-    /** All losses from views. */
+    /** How often a view dropped a router. */
     val removals: Int,
     /** Encoded bytes sent by each router per second, from the fault to the end. */
     val bytesPerSecond: Double,
     /** Datagrams sent by each router per second. */
     val messagesPerSecond: Double,
-    /** Size of the greatest datagram. */
+    /** Size of the largest datagram, in bytes. */
     val greatestDatagram: Int,
     /** Readings of the platform's list by each router per minute. */
     val listReadsPerMinute: Double,
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
@@ -18,7 +18,8 @@
 import org.cicadaarch.model.ZoneName
 
 /**
- * A fleet of [routers] before a plain service with [targets] targets, in virtual time. Each router knows only its own
+ * A fleet of [routers] in front of a plain service, whose requests have no prompt, with [targets] targets, in virtual
+ * time. Each router knows only its own
  * requests and the reports in its own responses. Requests arrive at random times, at random routers.
  */
 internal class PlainServiceSimulation(
