--- a/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ScenarioResult.kt
+++ b/cicadaarch-experiment/src/main/kotlin/org/cicadaarch/experiment/membership/ScenarioResult.kt
@@ -3,8 +3,8 @@
 import kotlin.time.Duration
 
 /**
- * What one run of a scenario showed. A router's view is its list of the others. Unless stated otherwise, times count from
- * the fault until a view has dropped a router that the fault took away.
+ * What one run of a scenario showed. A router's view is its list of the others. Unless stated otherwise, times count
+ * from the fault until a view has dropped a router that the fault took away.
  */
 data class ScenarioResult(
     /** Time from the cold start until all views were equal, or null if that took longer than the limit. */
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/PlainServiceSimulation.kt
@@ -19,8 +19,8 @@
 
 /**
  * A fleet of [routers] in front of a plain service, whose requests have no prompt, with [targets] targets, in virtual
- * time. Each router knows only its own
- * requests and the reports in its own responses. Requests arrive at random times, at random routers.
+ * time. Each router knows only its own requests and the reports in its own responses. Requests arrive at random times,
+ * at random routers.
  */
 internal class PlainServiceSimulation(
     private val routers: Int,
