State the load bound believed for each attempt, and count reports over it

A log line had the load that was believed and its age, but not the bound, and nothing counted the responses whose target was over it. attempt-sent and request-ended now state loadBound, and two metrics by service count the load reports over and within the bound and the age of the report by which a target was selected. No decision changes.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -13,7 +13,8 @@
     /**
      * Send the request to [target], which has [timeLeft] to respond and may copy the cache of the prompt from
      * [cacheSource]. A new connection must be established within [connectTimeout]. [estimatedLoad] is the load of
-     * [target] at its selection, by a report of age [loadReportAge], null if there is none.
+     * [target] at its selection, by a report of age [loadReportAge], null if there is none; [loadBound] is the load
+     * that it should not exceed.
      */
     data class Send(
         val id: ExchangeId,
@@ -22,6 +23,7 @@
         val timeLeft: Duration,
         val connectTimeout: Duration,
         val estimatedLoad: Double,
+        val loadBound: Double,
         val loadReportAge: Duration? = null,
         val cacheSource: TargetEntry? = null,
     ) : DispatchEffect()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -10,6 +10,7 @@
 import org.cicadaarch.dispatch.target.SelectionCriteria
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.dispatch.target.TargetNotice
+import org.cicadaarch.dispatch.target.TargetSelection
 import org.cicadaarch.dispatch.target.TargetSelector
 import org.cicadaarch.dispatch.target.TargetState
 import org.cicadaarch.model.ServiceName
@@ -192,18 +193,18 @@
 
     private fun hasTimeForRetry(open: OpenRequest): Boolean = open.deadline - now > MIN_TIME_FOR_RETRY
 
-    private fun findAlternative(open: OpenRequest, excluded: Set<TargetId>): TargetState? {
+    private fun findAlternative(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
         if (state.heldRequests.ruleFor(open.request.traits) != null) return null
-        return selectTarget(open, excluded)?.takeIf { it.entry.id !in excluded }
+        return selectTarget(open, excluded)?.takeIf { it.target.entry.id !in excluded }
     }
 
     private fun sendOrQueue(open: OpenRequest) {
         val rule = state.heldRequests.ruleFor(open.request.traits)
         if (rule != null) return holdBack(open, rule)
-        val target = selectTarget(open, open.triedTargets)
-        val backOffEnd = if (target == null) backOffEnd(open.request.service) else null
+        val selection = selectTarget(open, open.triedTargets)
+        val backOffEnd = if (selection == null) backOffEnd(open.request.service) else null
         when {
-            target != null -> send(open, target)
+            selection != null -> send(open, selection)
 
             backOffEnd != null && backOffEnd >= RequestTimers.nextTimeout(open) ->
                 fail(open, RequestFailure.NotRun(BACKING_OFF, RetryAfter.spread(backOffEnd - now, open.request)))
@@ -225,14 +226,15 @@
         queued.sortedWith(compareBy({ it.request.priority }, { it.arrivedAt })).forEach { sendOrQueue(it) }
     }
 
-    private fun selectTarget(open: OpenRequest, excluded: Set<TargetId>): TargetState? {
+    private fun selectTarget(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
         val request = open.request
         val criteria = SelectionCriteria(request.promptKey, excluded, tieBreaker = request.id.value.hashCode())
         val willing = targetsOf(request.service).filter { state.targetNotices.wantsRequests(it.entry, now) }
         return selector.select(willing, criteria, now)
     }
 
-    private fun send(open: OpenRequest, target: TargetState) {
+    private fun send(open: OpenRequest, selection: TargetSelection) {
+        val target = selection.target
         val id = target.entry.id
         val attempt = open.attempts + 1
         putRequest(
@@ -252,6 +254,7 @@
             timeLeft = open.deadline - now,
             connectTimeout = RequestTimers.connectTimeout(open),
             estimatedLoad = target.load(now),
+            loadBound = selection.loadBound,
             loadReportAge = target.reportedAt?.let { now - it },
             cacheSource = open.request.promptKey?.let { recordPromptSent(open.request.service, it, id) },
         )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -16,13 +16,16 @@
  */
 class TargetSelector(private val zone: ZoneName, private val imbalanceFactor: Double) {
     /** Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. */
-    fun select(targets: Collection<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetState? {
+    fun select(targets: Collection<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetSelection? {
         val eligible = eligible(targets, criteria, now)
-        return if (criteria.promptKey == null) {
+        val usualLoads = usualLoads(eligible, now)
+        val loadBound = imbalanceFactor * (usualLoads.sum() / eligible.size.coerceAtLeast(1)) + LOAD_BOUND_SLACK
+        val selected = if (criteria.promptKey == null) {
             leastLoaded(eligible, criteria, now)
         } else {
-            byPrompt(eligible, criteria.promptKey, now)
+            byPrompt(eligible, criteria.promptKey, usualLoads, loadBound, now)
         }
+        return selected?.let { TargetSelection(it, loadBound) }
     }
 
     /**
@@ -61,19 +64,26 @@
     private fun isOutlier(target: TargetState, meanErrorRate: Double): Boolean =
         target.errorRate > OUTLIER_ERROR_RATE && target.errorRate > 2 * meanErrorRate
 
-    private fun byPrompt(targets: List<TargetState>, promptKey: String, now: Timestamp): TargetState? {
-        val typicalOthers = typicalOthersInFlight(targets, now)
-        val usualLoads = targets.map { it.usualLoad(typicalOthers, now) }
-        val meanLoad = usualLoads.sum() / targets.size.coerceAtLeast(1)
-        val loadBound = (imbalanceFactor * meanLoad + LOAD_BOUND_SLACK) * LOAD_BOUND_FRACTION
+    private fun byPrompt(
+        targets: List<TargetState>,
+        promptKey: String,
+        usualLoads: List<Double>,
+        loadBound: Double,
+        now: Timestamp,
+    ): TargetState? {
         val free = targets.indices.filter { targets[it].load(now) + 1 <= targets[it].entry.slots }
-        val belowBound = free.filter { usualLoads[it] + 1 <= loadBound }
+        val belowBound = free.filter { usualLoads[it] + 1 <= loadBound * LOAD_BOUND_FRACTION }
         val selected =
             RendezvousHash.first(key = promptKey, members = belowBound, name = { targets[it].entry.id.value })
                 ?: free.minByOrNull { usualLoads[it] }
         return selected?.let { targets[it] }
     }
 
+    private fun usualLoads(targets: List<TargetState>, now: Timestamp): List<Double> {
+        val typicalOthers = typicalOthersInFlight(targets, now)
+        return targets.map { it.usualLoad(typicalOthers, now) }
+    }
+
     /** The mean number of other routers' requests at a target, by the reports that still have a weight. */
     private fun typicalOthersInFlight(targets: List<TargetState>, now: Timestamp): Double {
         val weight = targets.sumOf { it.reportWeight(now) }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -46,6 +46,7 @@
     private var attemptSentAt: Timestamp? = null
     private var firstPartMillis: Long? = null
     private var reportedLoad: Int? = null
+    private var loadBound: Double? = null
 
     /** Records that the first part of the response was written to the client. */
     fun responseStarted() {
@@ -58,11 +59,14 @@
         attempts = send.attempt
         attemptSentAt = NanoTimeClock.now()
         lastTarget = send.target.id
+        loadBound = send.loadBound
+        metrics.recordLoadReportAge(dispatchRequest.service, send.loadReportAge)
         LogEvents.info("attempt-sent") {
             "request" to requestId
             "attempt" to send.attempt
             "target" to send.target.id
-            "load" to (send.estimatedLoad * TENTHS).roundToInt() / TENTHS
+            "load" to rounded(send.estimatedLoad)
+            "loadBound" to rounded(send.loadBound)
             "reportAge" to send.loadReportAge?.inWholeMilliseconds
             "slots" to send.target.slots
             "prompt" to dispatchRequest.promptKey
@@ -74,6 +78,7 @@
     /** Records the [load] that [target] reported in its response, and passes it to the dispatch reducer. */
     fun loadReported(target: TargetId, load: LoadReport) {
         reportedLoad = load.total
+        loadBound?.let { metrics.recordLoadReport(dispatchRequest.service, isOverBound = load.total > it) }
         submit(DispatchEvent.LoadReported(target, load))
     }
 
@@ -107,6 +112,7 @@
             "target" to lastTarget
             "attempts" to attempts
             "reportedLoad" to reportedLoad
+            "loadBound" to loadBound?.let { rounded(it) }
             "status" to status
             "reason" to reason
             "firstPartMillis" to firstPartMillis
@@ -115,6 +121,8 @@
         onEnd(exchange)
     }
 
+    private fun rounded(load: Double): Double = (load * TENTHS).roundToInt() / TENTHS
+
     private fun elapsedMillis(): Long = (NanoTimeClock.now() - startedAt).inWholeMilliseconds
 
     private companion object {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
@@ -35,6 +35,19 @@
         .classicOnly()
         .register(registry)
 
+    private val loadReports = Counter.builder()
+        .name("cicadaarch_load_reports_total")
+        .help("Responses that stated the target's load, by service and whether it was over the bound believed.")
+        .labelNames("service", "bound")
+        .register(registry)
+    private val loadReportAges = Histogram.builder()
+        .name("cicadaarch_load_report_age_seconds")
+        .help("Age of the load report by which a target was selected, by service; not counted if there was none.")
+        .labelNames("service")
+        .classicOnly()
+        .classicUpperBounds(0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 15.0)
+        .register(registry)
+
     /** Counts a request for [service] that ended with [status], or null if the client's connection was closed. */
     fun recordRequest(service: ServiceName?, status: Int?, reason: String?) =
         requests.labelValues(service?.value ?: NONE, status?.toString() ?: NONE, reason ?: NONE).inc()
@@ -49,6 +62,15 @@
         attempts.labelValues(service.value, label).inc()
     }
 
+    /** Counts a load report of a target of [service]. */
+    fun recordLoadReport(service: ServiceName, isOverBound: Boolean) =
+        loadReports.labelValues(service.value, if (isOverBound) "over" else "within").inc()
+
+    /** Records the [age] of the report by which a target of [service] was selected; null if there was none. */
+    fun recordLoadReportAge(service: ServiceName, age: Duration?) {
+        if (age != null) loadReportAges.labelValues(service.value).observe(age.toDouble(DurationUnit.SECONDS))
+    }
+
     /** Records that [phase] of a request on [route] took [time]. */
     fun recordDuration(route: Route, phase: LatencyPhase, time: Duration) {
         val kind = if (route.isStream) "stream" else "plain"
