Count the way of a report in its ages, and test what routers tell each other

Ages of loads in a report did not count the report's own way, so that a slow network made them look newer (ObservationAgeTest: too low by the time of one message). They count the way that the last response took now, and a router that was paused drops the reports that waited for it. Summaries live longer than loads, so that a late one does not make demand fall and rise. Words: summary and aggregator, as a digest is something else here.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationReport.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationReport.kt
@@ -10,4 +10,7 @@
 data class ObservationReport(
     val work: Map<PromptId, Duration> = emptyMap(),
     val loads: Map<TargetId, AgedLoad> = emptyMap(),
-)
+) {
+    /** The same report after [time] has passed. */
+    fun aged(time: Duration): ObservationReport = copy(loads = loads.mapValues { it.value.aged(time) })
+}
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationDigest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationSummary.kt
@@ -11,15 +11,15 @@
  * the targets whose load is far above the mean of their service, each with the age of its own report; [typicalLoads]
  * is the mean load of the others, by service.
  */
-data class ObservationDigest(
+data class ObservationSummary(
     val age: Duration = Duration.ZERO,
     val demands: Map<PromptId, Double> = emptyMap(),
     val typicalLoads: Map<ServiceName, Double> = emptyMap(),
     val heavyLoads: Map<TargetId, AgedLoad> = emptyMap(),
 ) {
-    /** The same digest after [time] has passed. */
-    fun aged(time: Duration): ObservationDigest = copy(
+    /** The same summary after [time] has passed. */
+    fun aged(time: Duration): ObservationSummary = copy(
         age = age + time,
-        heavyLoads = heavyLoads.mapValues { it.value.copy(age = it.value.age + time) },
+        heavyLoads = heavyLoads.mapValues { it.value.aged(time) },
     )
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
@@ -11,8 +11,9 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * The observations that a router merges on behalf of others: the reports of routers, and the firsthand digests of the
- * other routers that merge. Of several reports of a target, the newest holds. What is older than [LIFETIME] is dropped.
+ * The observations that a router merges on behalf of others: the reports of routers, and the firsthand summaries of the
+ * other routers that merge. Of several reports of a target, the newest holds. A load older than [LIFETIME] is dropped, a
+ * summary after [SUMMARY_LIFETIME].
  */
 data class SharedObservations(
     private val imbalanceFactor: Double,
@@ -27,60 +28,60 @@
         return copy(demands = demands.plus(report.work, now), loads = updated.build())
     }
 
-    /** A copy with the firsthand [digest] of [router], in place of the one before it. */
-    fun withDigest(router: RouterAddress, digest: ObservationDigest, now: Timestamp): SharedObservations =
-        copy(received = received.put(router, Received(digest, now)))
+    /** A copy with the firsthand [summary] of [router], in place of the one before it. */
+    fun withSummary(router: RouterAddress, summary: ObservationSummary, now: Timestamp): SharedObservations =
+        copy(received = received.put(router, Received(summary, now)))
 
     /** A copy without what is too old to matter. */
     fun pruned(now: Timestamp): SharedObservations {
         val recentLoads = loads.builder()
         recentLoads.values.removeAll { now - it.at > LIFETIME }
-        val recentDigests = received.builder()
-        recentDigests.values.removeAll { now - it.at + it.digest.age > LIFETIME }
+        val recentSummaries = received.builder()
+        recentSummaries.values.removeAll { now - it.at + it.summary.age > SUMMARY_LIFETIME }
         return copy(
             demands = demands.pruned(now),
             loads = recentLoads.build(),
-            received = recentDigests.build(),
+            received = recentSummaries.build(),
         )
     }
 
-    /** The digest of [scope] for a fleet with [targets]. */
-    fun digest(scope: ObservationScope, targets: Collection<TargetEntry>, now: Timestamp): ObservationDigest {
-        val digests = if (scope == ObservationScope.FLEET) received.values else emptyList()
-        val newestLoads = newestLoads(digests, now)
+    /** The summary of [scope] for a fleet with [targets]. */
+    fun summary(scope: ObservationScope, targets: Collection<TargetEntry>, now: Timestamp): ObservationSummary {
+        val summaries = if (scope == ObservationScope.FLEET) received.values else emptyList()
+        val newestLoads = newestLoads(summaries, now)
         val services = targets.groupBy { it.service }.mapNotNull { (service, entries) ->
-            summary(service, entries.mapNotNull { newestLoads[it.id]?.let { load -> it.id to load } }.toMap())
+            loadSummary(service, entries.mapNotNull { newestLoads[it.id]?.let { load -> it.id to load } }.toMap())
         }
-        return ObservationDigest(
-            demands = demands(scope, digests, now),
+        return ObservationSummary(
+            demands = demands(scope, summaries, now),
             typicalLoads = services.associate { it.service to it.typical },
             heavyLoads = services.flatMap { it.heavy.entries }.associate { it.key to it.value.aged(now) },
         )
     }
 
-    private fun newestLoads(digests: Collection<Received>, now: Timestamp): Map<TargetId, DatedLoad> {
+    private fun newestLoads(summaries: Collection<Received>, now: Timestamp): Map<TargetId, DatedLoad> {
         val newest = HashMap(loads)
-        digests.forEach { (digest, at) ->
-            digest.heavyLoads.forEach { (target, load) -> newest[target] = load.dated(at).newest(newest[target]) }
+        summaries.forEach { (summary, at) ->
+            summary.heavyLoads.forEach { (target, load) -> newest[target] = load.dated(at).newest(newest[target]) }
         }
         return newest.filterValues { now - it.at <= LIFETIME }
     }
 
     private fun demands(
         scope: ObservationScope,
-        digests: Collection<Received>,
+        summaries: Collection<Received>,
         now: Timestamp,
     ): Map<PromptId, Double> {
         val sums = HashMap(demands.strongest(MAX_PROMPTS, MIN_FIRSTHAND_DEMAND, now))
-        digests.forEach { (digest, _) ->
-            digest.demands.forEach { (prompt, demand) -> sums.merge(prompt, demand, Double::plus) }
+        summaries.forEach { (summary, _) ->
+            summary.demands.forEach { (prompt, demand) -> sums.merge(prompt, demand, Double::plus) }
         }
         if (scope == ObservationScope.FIRSTHAND) return sums
         return sums.entries.filter { it.value >= MIN_DEMAND }.sortedByDescending { it.value }.take(MAX_PROMPTS)
             .associate { it.toPair() }
     }
 
-    private fun summary(service: ServiceName, loads: Map<TargetId, DatedLoad>): LoadSummary? {
+    private fun loadSummary(service: ServiceName, loads: Map<TargetId, DatedLoad>): LoadSummary? {
         if (loads.isEmpty()) return null
         val bound = LoadBound.of(imbalanceFactor, meanOf(loads.values))
         val heavy = loads.filterValues { it.requests >= bound * HEAVY_SHARE }
@@ -90,8 +91,8 @@
 
     private fun meanOf(loads: Collection<DatedLoad>): Double = loads.sumOf { it.requests }.toDouble() / loads.size
 
-    /** A [digest] that was received [at]. */
-    data class Received(val digest: ObservationDigest, val at: Timestamp)
+    /** A [summary] that was received [at]. */
+    data class Received(val summary: ObservationSummary, val at: Timestamp)
 
     private class LoadSummary(val service: ServiceName, val typical: Double, val heavy: Map<TargetId, DatedLoad>)
 
@@ -99,6 +100,9 @@
         /** A target's load is another one after this time. */
         val LIFETIME = 1_200.milliseconds
 
+        /** Longer than another router may take to send the next one. */
+        val SUMMARY_LIFETIME = 2_000.milliseconds
+
         /** The demand from which a prompt matters, in all and at one of the routers that merge. */
         const val MIN_DEMAND = 2.0
         const val MIN_FIRSTHAND_DEMAND = 0.8
@@ -106,7 +110,7 @@
         /** Share of the load bound from which a target is told of by itself. */
         private const val HEAVY_SHARE = 0.5
 
-        /** Bounds the size of a digest. */
+        /** Bounds the size of a summary. */
         private const val MAX_PROMPTS = 32
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEvent.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEvent.kt
@@ -1,6 +1,6 @@
 package org.cicadaarch.dispatch.request
 
-import org.cicadaarch.dispatch.observation.ObservationDigest
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.TargetEntry
@@ -36,7 +36,7 @@
     data object ObservationsReported : DispatchEvent()
 
     /** Other routers told what the fleet observes. */
-    data class FleetObserved(val digest: ObservationDigest) : DispatchEvent()
+    data class FleetObserved(val summary: ObservationSummary) : DispatchEvent()
 
     /** The registered targets are now [entries]. */
     data class TargetsChanged(val entries: List<TargetEntry>) : DispatchEvent()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
@@ -21,7 +21,7 @@
             is DispatchEvent.LoadReported -> transition.loadReported(event.target, event.load)
             is DispatchEvent.TargetNoticeReceived -> transition.targetNoticeReceived(event.entry, event.notice)
             DispatchEvent.ObservationsReported -> transition.observationsReported()
-            is DispatchEvent.FleetObserved -> transition.fleetObserved(event.digest)
+            is DispatchEvent.FleetObserved -> transition.fleetObserved(event.summary)
             is DispatchEvent.TargetsChanged -> transition.targetsChanged(event.entries)
             is DispatchEvent.QuarantineChanged -> transition.quarantineChanged(event.rules)
             is DispatchEvent.TrialGranted -> transition.trialGranted(event.rule)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -4,7 +4,7 @@
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.FleetDemands
 import org.cicadaarch.dispatch.observation.LocalObservations
-import org.cicadaarch.dispatch.observation.ObservationDigest
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.PromptId
 import org.cicadaarch.dispatch.observation.SharedObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
@@ -94,19 +94,19 @@
         state = state.copy(localObservations = LocalObservations())
     }
 
-    fun fleetObserved(digest: ObservationDigest) {
-        val observedAt = now - digest.age
+    fun fleetObserved(summary: ObservationSummary) {
+        val observedAt = now - summary.age
         val targets = state.targets.builder()
-        state.targets.forEach { (id, target) -> targets[id] = withFleetLoad(target, digest, observedAt) }
-        state = state.copy(targets = targets.build(), fleetDemands = FleetDemands(digest.demands, observedAt))
+        state.targets.forEach { (id, target) -> targets[id] = withFleetLoad(target, summary, observedAt) }
+        state = state.copy(targets = targets.build(), fleetDemands = FleetDemands(summary.demands, observedAt))
         sendQueued()
     }
 
-    /** A typical load replaces only reports that are too old to be in the digest. */
-    private fun withFleetLoad(target: TargetState, digest: ObservationDigest, observedAt: Timestamp): TargetState {
+    /** A typical load replaces only reports that are too old to be in the summary. */
+    private fun withFleetLoad(target: TargetState, summary: ObservationSummary, observedAt: Timestamp): TargetState {
         val knownAt = target.usualLoadAt
-        val heavy = digest.heavyLoads[target.entry.id]?.dated(now)
-        val typical = digest.typicalLoads[target.entry.service]
+        val heavy = summary.heavyLoads[target.entry.id]?.dated(now)
+        val typical = summary.typicalLoads[target.entry.service]
         return when {
             heavy != null && (knownAt == null || heavy.at > knownAt) ->
                 target.withUsualLoad(heavy.requests.toDouble(), heavy.at)
@@ -406,7 +406,7 @@
         /** Fraction of the retry ratio in use, as the fleet's request count differs slightly from this router's. */
         const val RETRY_RATIO_FRACTION = 0.9
 
-        /** As long as a digest may still have an older report of the target. */
+        /** As long as a summary may still have an older report of the target. */
         val OWN_REPORT_TIME = SharedObservations.LIFETIME
         val MIN_TIME_FOR_RETRY = 20.milliseconds
         val RETRY_AFTER = 150.milliseconds
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -9,8 +9,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import net.openhft.hashing.LongHashFunction
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationReport
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
 import org.cicadaarch.dispatch.request.DispatchReducer
@@ -118,7 +118,7 @@
         return report
     }
 
-    override fun apply(digest: ObservationDigest) = submit(DispatchEvent.FleetObserved(digest))
+    override fun apply(summary: ObservationSummary) = submit(DispatchEvent.FleetObserved(summary))
 
     /** Refuses [exchange] since the router is shutting down. */
     fun refuseStopping(exchange: ForwardingExchange) =
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationHub.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
@@ -1,9 +1,9 @@
 package org.cicadaarch.forwarding.peer
 
 import kotlin.time.Duration.Companion.milliseconds
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationReport
 import org.cicadaarch.dispatch.observation.ObservationScope
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.SharedObservations
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.logging.LogEvents
@@ -13,22 +13,23 @@
 /**
  * Merges what routers observe of targets and prompts, while this router does so on behalf of others.
  *
- * Every [INTERVAL] it makes new digests, and uses that of the whole fleet in its own [dispatch]. [onRise] is called when
- * the demand for a prompt has risen so far that routers which wait for a digest of the scope should get it at once.
+ * Every [INTERVAL] it makes new summaries, and uses that of the whole fleet in its own [dispatch]. [onRise] is called when
+ * the demand for a prompt has risen so far that routers which wait for a summary of the scope should get it at once.
  */
-internal class ObservationHub(
+internal class ObservationAggregator(
     private val dispatch: ObservedDispatch,
     private val scheduler: TaskScheduler,
     imbalanceFactor: Double,
 ) {
     private val initial = SharedObservations(imbalanceFactor)
     private var shared = initial
-    private val digests = HashMap<ObservationScope, ObservationDigest>()
-    private var digestsMadeAt = Timestamp(0)
+    private val summaries = HashMap<ObservationScope, ObservationSummary>()
+    private var summariesMadeAt = Timestamp(0)
     private val levels = mapOf(
         ObservationScope.FIRSTHAND to DemandLevels(minimum = FIRSTHAND_RISE),
         ObservationScope.FLEET to DemandLevels(minimum = FLEET_RISE),
     )
+    private var tickedAt = Timestamp(0)
     private var cancelTick: (() -> Unit)? = null
     var onRise: (ObservationScope) -> Unit = {}
 
@@ -44,24 +45,31 @@
             cancelTick?.invoke()
             cancelTick = null
             shared = initial
-            digests.clear()
+            summaries.clear()
         }
     }
 
-    /** Adds a [report] of another router. */
+    /**
+     * Adds a [report] of another router, unless this one was paused until now: then the report may have waited for as
+     * long, which its ages do not tell.
+     */
     fun receive(report: ObservationReport) {
-        if (isActive) shared = shared.withReport(report, scheduler.now())
+        if (isActive && !wasPaused()) shared = shared.withReport(report, scheduler.now())
     }
 
-    /** Adds the firsthand [digest] of [router], which merges observations too. */
-    fun receive(router: RouterAddress, digest: ObservationDigest) {
-        if (isActive) shared = shared.withDigest(router, digest, scheduler.now())
+    /** Adds the firsthand [summary] of [router], which merges observations too. */
+    fun receive(router: RouterAddress, summary: ObservationSummary) {
+        if (isActive) shared = shared.withSummary(router, summary, scheduler.now())
     }
 
-    /** The latest digest of [scope], or null if this router does not merge observations. */
-    fun digest(scope: ObservationScope): ObservationDigest? = digests[scope]?.aged(scheduler.now() - digestsMadeAt)
+    /** The latest summary of [scope], or null if this router does not merge observations. */
+    fun summary(scope: ObservationScope): ObservationSummary? =
+        summaries[scope]?.aged(scheduler.now() - summariesMadeAt)
+
+    private fun wasPaused(): Boolean = scheduler.now() - tickedAt > INTERVAL + MAX_LATENESS
 
     private fun scheduleTick() {
+        tickedAt = scheduler.now()
         cancelTick = scheduler.schedule(INTERVAL) {
             scheduleTick()
             tick()
@@ -72,11 +80,11 @@
         val now = scheduler.now()
         shared = shared.withReport(dispatch.takeReport(), now).pruned(now)
         val targets = dispatch.targetEntries
-        ObservationScope.entries.forEach { digests[it] = shared.digest(it, targets, now) }
-        digestsMadeAt = now
-        dispatch.apply(digests.getValue(ObservationScope.FLEET))
+        ObservationScope.entries.forEach { summaries[it] = shared.summary(it, targets, now) }
+        summariesMadeAt = now
+        dispatch.apply(summaries.getValue(ObservationScope.FLEET))
         levels.forEach { (scope, level) ->
-            if (level.haveRisen(digests.getValue(scope).demands)) {
+            if (level.haveRisen(summaries.getValue(scope).demands)) {
                 logRise(scope)
                 onRise(scope)
             }
@@ -86,7 +94,7 @@
     private fun logRise(scope: ObservationScope) {
         if (scope != ObservationScope.FLEET) return
         LogEvents.info("prompt-demand") {
-            digests.getValue(scope).demands.entries.take(MAX_LOGGED).forEach { (prompt, demand) ->
+            summaries.getValue(scope).demands.entries.take(MAX_LOGGED).forEach { (prompt, demand) ->
                 prompt.toString() to demand
             }
         }
@@ -96,6 +104,9 @@
         /** Also the shortest pause between two early responses to the same router. */
         val INTERVAL = 150.milliseconds
 
+        /** A task that runs so late shows that the process was paused or its event loop busy. */
+        val MAX_LATENESS = 250.milliseconds
+
         /** At one of several routers that merge: two requests or so for one prompt within a second. */
         const val FIRSTHAND_RISE = 2.0
         const val FLEET_RISE = 6.0
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservedDispatch.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservedDispatch.kt
@@ -1,7 +1,7 @@
 package org.cicadaarch.forwarding.peer
 
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationReport
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.target.TargetEntry
 
 /**
@@ -15,5 +15,5 @@
     fun takeReport(): ObservationReport
 
     /** Uses what the fleet observes from now on. */
-    fun apply(digest: ObservationDigest)
+    fun apply(summary: ObservationSummary)
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerResponse.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerResponse.kt
@@ -13,6 +13,6 @@
     val routers: List<String>,
     @SerialName("newer") val updates: List<PrefixUpdateMessage>,
     @SerialName("isServed") val isWatchingStore: Boolean,
-    val observations: DigestMessage? = null,
+    val observations: SummaryMessage? = null,
     val heldMillis: Long? = null,
 )
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -19,13 +19,13 @@
  * Updates in quick succession are sent together, and senders with the same revisions share one serialized response.
  * Polls beyond [MAX_PENDING_POLLS] do not wait.
  *
- * Polls may carry what their senders observed, and ask for what [hub] merged of that.
+ * Polls may carry what their senders observed, and ask for what [aggregator] merged of that.
  */
 internal class PeerServer(
     private val scheduler: TaskScheduler,
     private val directory: PeerDirectory,
     private val prefixWatchers: Map<String, PrefixWatcher>,
-    private val hub: ObservationHub,
+    private val aggregator: ObservationAggregator,
 ) {
     private val pending = LinkedHashSet<PeerPoll>()
     private var isResponseScheduled = false
@@ -37,7 +37,7 @@
             it.onNewRevision = ::scheduleResponses
             it.onWatchEnded = ::respondToAll
         }
-        hub.onRise = { scope -> respondTo { it.scope == scope } }
+        aggregator.onRise = { scope -> respondTo { it.scope == scope } }
     }
 
     /** Handles a [request] of another router. [respond] is called once, at once or later. */
@@ -95,14 +95,14 @@
     }
 
     private fun body(content: Content): String {
-        val digest = content.scope?.let { hub.digest(it) }
+        val summary = content.scope?.let { aggregator.summary(it) }
         return Json.encodeToString(
             PeerResponse(
                 routers = livePeerAddresses(),
                 updates = updatesFor(content.revisions),
                 isWatchingStore = isWatchingStore(),
-                observations = digest?.let { DigestMessage.of(it) },
-                heldMillis = digest?.let { content.heldMillis },
+                observations = summary?.let { SummaryMessage.of(it) },
+                heldMillis = summary?.let { content.heldMillis },
             ),
         )
     }
@@ -111,7 +111,7 @@
         PeerJson.decodeFromString<ReportMessage>(it)
     }.fold(
         ifLeft = { error -> LogEvents.warn("peer-report-unreadable") { "error" to error } },
-        ifRight = { hub.receive(it.toReport()) },
+        ifRight = { aggregator.receive(it.toReport()) },
     )
 
     private fun livePeerAddresses(): List<String> {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -6,8 +6,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.json.Json
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationScope
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.watch.WatchState
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
@@ -43,16 +43,17 @@
     bound: Duration,
 ) {
     private val directory = PeerDirectory(self, seeds, bound)
-    private val hub = ObservationHub(dispatch, scheduler, imbalanceFactor)
-    private val server = PeerServer(scheduler, directory, prefixWatchers, hub)
-    private val hubExchange = HubExchange(
+    private val aggregator = ObservationAggregator(dispatch, scheduler, imbalanceFactor)
+    private val server = PeerServer(scheduler, directory, prefixWatchers, aggregator)
+    private val aggregatorExchange = AggregatorExchange(
         scheduler = scheduler,
-        hub = hub,
+        aggregator = aggregator,
         retryInterval = POLL_INTERVAL,
         others = { directory.watchers(scheduler.now()) - self },
-        poll = ::pollHub,
+        poll = ::pollAggregator,
     )
     private var lastPollAt = Timestamp(0)
+    private var lastTransit = Duration.ZERO
     private val random = Random(self.hashCode())
     private val startedAt = scheduler.now()
     private var allPolledAt: Timestamp? = null
@@ -89,7 +90,7 @@
                 poll(
                     others[pollCount.mod(others.size)],
                     nextWait(now),
-                    ReportMessage.of(dispatch.takeReport()),
+                    nextReport(),
                 ) { result ->
                     if (result != PollResult.WATCHING) watcherLost()
                     scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else takeoverPollInterval)
@@ -110,10 +111,13 @@
         if (isStoreLost()) fallbackWatch.storeLost()
         val shouldWatch = fallbackWatch.isActive || self in directory.watchers(scheduler.now())
         if (shouldWatch != isWatchEnabled()) setWatchEnabled(shouldWatch)
-        hub.setActive(shouldWatch)
-        hubExchange.update()
+        aggregator.setActive(shouldWatch)
+        aggregatorExchange.update()
     }
 
+    /** The report takes about as long on its way as the last response did. */
+    private fun nextReport() = ReportMessage.of(dispatch.takeReport().aged(lastTransit))
+
     /** Polls that start together wait for different times, so that reports leave at even intervals. */
     private fun nextWait(now: Timestamp): Duration {
         val wait = if (now - lastPollAt < maxWait / CONCURRENT_POLLS) maxWait / CONCURRENT_POLLS else maxWait
@@ -175,21 +179,25 @@
         val sentAt = scheduler.now()
         transport.poll(peer, EndpointRequest(query.toString(), body), wait + RESPONSE_TIMEOUT) { outcome ->
             scheduler.execute {
-                onDone(handleOutcome(peer, outcome) { if (!hub.isActive) digestOf(it, sentAt)?.let(dispatch::apply) })
+                onDone(
+                    handleOutcome(peer, outcome) {
+                        if (!aggregator.isActive) summaryOf(it, sentAt)?.let(dispatch::apply)
+                    },
+                )
             }
         }
     }
 
     /** Asks [peer] for its firsthand observations. */
-    private fun pollHub(peer: RouterAddress, onDigest: (ObservationDigest?) -> Unit) {
+    private fun pollAggregator(peer: RouterAddress, onSummary: (ObservationSummary?) -> Unit) {
         val query = query(maxWait)
         query.addParam(PeerQuery.OBSERVATIONS, ObservationScope.FIRSTHAND.name)
         val sentAt = scheduler.now()
         transport.poll(peer, EndpointRequest(query.toString()), maxWait + RESPONSE_TIMEOUT) { outcome ->
             scheduler.execute {
-                var digest: ObservationDigest? = null
-                handleOutcome(peer, outcome) { digest = digestOf(it, sentAt) }
-                onDigest(digest)
+                var summary: ObservationSummary? = null
+                handleOutcome(peer, outcome) { summary = summaryOf(it, sentAt) }
+                onSummary(summary)
             }
         }
     }
@@ -201,11 +209,11 @@
         return query
     }
 
-    /** The digest in [response], which may have taken all the time on its way for which the poll was not held. */
-    private fun digestOf(response: PeerResponse, sentAt: Timestamp): ObservationDigest? {
+    /** The summary in [response], which may have taken all the time on its way for which the poll was not held. */
+    private fun summaryOf(response: PeerResponse, sentAt: Timestamp): ObservationSummary? {
         val held = (response.heldMillis ?: 0).milliseconds
-        val transit = (scheduler.now() - sentAt - held).coerceAtLeast(Duration.ZERO)
-        return response.observations?.toDigest()?.aged(transit)
+        lastTransit = (scheduler.now() - sentAt - held).coerceAtLeast(Duration.ZERO)
+        return response.observations?.toSummary()?.aged(lastTransit)
     }
 
     /** Applies the response of [peer] and passes it to [onResponse]. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/DigestMessage.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/SummaryMessage.kt
@@ -4,23 +4,23 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import org.cicadaarch.dispatch.observation.ObservationDigest
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.PromptId
 import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
 
 /**
- * The wire form of [ObservationDigest]. Demands and typical loads are in hundredths of a request.
+ * The wire form of [ObservationSummary]. Demands and typical loads are in hundredths of a request.
  */
 @Serializable
-internal data class DigestMessage(
+internal data class SummaryMessage(
     @SerialName("age") val ageMillis: Long,
     val demands: Map<String, Long> = emptyMap(),
     @SerialName("typical") val typicalLoads: Map<String, Long> = emptyMap(),
     @SerialName("heavy") val heavyLoads: Map<String, LoadMessage> = emptyMap(),
 ) {
     /** Converts the message to the form that the dispatch module uses. */
-    fun toDigest() = ObservationDigest(
+    fun toSummary() = ObservationSummary(
         age = ageMillis.coerceIn(0, MAX_AGE_MILLIS).milliseconds,
         demands = demands.entries
             .mapNotNull { (prompt, demand) -> PromptId.parse(prompt)?.let { it to requests(demand) } }
@@ -34,14 +34,16 @@
         private const val MAX_HUNDREDTHS = 100_000_000L
         private const val MAX_AGE_MILLIS = 60_000L
 
-        /** The message for [digest]. */
-        fun of(digest: ObservationDigest) = DigestMessage(
-            ageMillis = digest.age.inWholeMilliseconds,
-            demands = digest.demands.entries.associate { (prompt, demand) -> prompt.toString() to hundredths(demand) },
-            typicalLoads = digest.typicalLoads.entries.associate { (service, load) ->
+        /** The message for [summary]. */
+        fun of(summary: ObservationSummary) = SummaryMessage(
+            ageMillis = summary.age.inWholeMilliseconds,
+            demands = summary.demands.entries.associate { (prompt, demand) -> prompt.toString() to hundredths(demand) },
+            typicalLoads = summary.typicalLoads.entries.associate { (service, load) ->
                 service.value to hundredths(load)
             },
-            heavyLoads = digest.heavyLoads.entries.associate { (target, load) -> target.value to LoadMessage.of(load) },
+            heavyLoads = summary.heavyLoads.entries.associate { (target, load) ->
+                target.value to LoadMessage.of(load)
+            },
         )
 
         private fun hundredths(requests: Double): Long = (requests * HUNDREDTHS).roundToLong()
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/http/HttpEndpointTest.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/http/HttpEndpointTest.kt
@@ -60,12 +60,46 @@
         }
     }
 
+    /** Guards against a body that is taken for that of another request. */
+    @Test
+    fun `Given pipelined requests with bodies, when they are handled, then each has its own body`() {
+        val address =
+            start { request, respond -> respond(HttpReply(HttpResponseStatus.OK, request.uri + request.body)) }
+        Socket(address.host, address.port).use { client ->
+            client.soTimeout = 10_000
+            client.send("/first", body = "one")
+            client.send("/second")
+            client.send("/third", body = "three")
+            val reader = client.getInputStream().bufferedReader()
+            assertEquals(listOf("/firstone", "/second", "/thirdthree"), List(3) { readBody(reader) })
+        }
+    }
+
+    /** Guards against a peer that fills the memory with a body. */
+    @Test
+    fun `Given a body that is too long, when it is sent, then the connection is closed without a reply`() {
+        val address = start { _, respond -> respond(HttpReply(HttpResponseStatus.OK, "handled")) }
+        Socket(address.host, address.port).use { client ->
+            client.soTimeout = 10_000
+            val isClosed = try {
+                client.send("/", body = "x".repeat(100_000))
+                client.getInputStream().read() == -1
+            } catch (_: SocketException) {
+                true
+            }
+            assertTrue(isClosed)
+        }
+    }
+
     private fun start(onRequest: (EndpointRequest, (HttpReply) -> Unit) -> Unit): RouterAddress {
         val endpoint = HttpEndpoint(RouterAddress("127.0.0.1", 0), eventLoops, onRequest)
         return endpoint.bind().also { endpoint.accept() }
     }
 
-    private fun Socket.send(uri: String) = getOutputStream().write("GET $uri HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+    private fun Socket.send(uri: String, body: String = "") {
+        val length = if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"
+        getOutputStream().write("POST $uri HTTP/1.1\r\nHost: a\r\n$length\r\n$body".toByteArray())
+    }
 
     private fun readBody(reader: java.io.BufferedReader): String {
         val headers = generateSequence { reader.readLine().takeIf { it.isNotEmpty() } }.toList()
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/IdleDispatch.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/IdleDispatch.kt
@@ -1,7 +1,7 @@
 package org.cicadaarch.forwarding.simulation
 
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationReport
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.forwarding.peer.ObservedDispatch
 
@@ -11,5 +11,5 @@
 
     override fun takeReport() = ObservationReport()
 
-    override fun apply(digest: ObservationDigest) = Unit
+    override fun apply(summary: ObservationSummary) = Unit
 }
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
@@ -2,8 +2,8 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import org.cicadaarch.dispatch.observation.ObservationDigest
 import org.cicadaarch.dispatch.observation.ObservationReport
+import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.request.AttemptResult
 import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
@@ -43,7 +43,7 @@
         return report
     }
 
-    override fun apply(digest: ObservationDigest) = submit(DispatchEvent.FleetObserved(digest))
+    override fun apply(summary: ObservationSummary) = submit(DispatchEvent.FleetObserved(summary))
 
     fun targetsChanged(entries: List<TargetEntry>) = submit(DispatchEvent.TargetsChanged(entries))
 
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedFleet.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedFleet.kt
@@ -4,11 +4,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.forwarding.fleet.TargetRemovalPolicy
+import org.cicadaarch.forwarding.peer.ObservedDispatch
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
 
 /** Routers that tell each other what their [dispatchers] observe, in virtual time. */
-internal class SimulatedFleet(dispatchers: List<SimulatedDispatcher>, private val time: VirtualTime, random: Random) {
+internal class SimulatedFleet(dispatchers: List<ObservedDispatch>, private val time: VirtualTime, random: Random) {
     private val store = SimulatedStore(time)
     private val addresses = dispatchers.indices.map { RouterAddress("10.0.${it / 200}.${it % 200 + 1}", 8000) }
 
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedPeerNetwork.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedPeerNetwork.kt
@@ -16,6 +16,9 @@
     /** Messages that each router received, and their characters. */
     val received = HashMap<RouterAddress, Traffic>()
 
+    /** The time that a message takes. */
+    var delay: Duration = 2.milliseconds
+
     /** Routers that neither receive nor send anything. */
     val cutOff = HashSet<RouterAddress>()
 
@@ -53,7 +56,7 @@
 
     private fun carry(from: RouterAddress, to: RouterAddress, deliver: () -> Unit) {
         if (from in cutOff || to in cutOff) return
-        time.after(DELAY) { if (from !in cutOff && to !in cutOff) deliver() }
+        time.after(delay) { if (from !in cutOff && to !in cutOff) deliver() }
     }
 
     private fun count(receiver: RouterAddress, characters: Int) {
@@ -63,8 +66,4 @@
 
     /** A number of [messages] with [characters] in all. */
     data class Traffic(val messages: Int, val characters: Long)
-
-    private companion object {
-        val DELAY = 2.milliseconds
-    }
 }
