Let polls between aggregators evict nobody, and split the sending of polls off

A router that answers such polls at once, as it does while the store is lost to it, is polled again no sooner than it makes a new summary. PeerClient sends polls and reads responses; what other routers tell of a target is taken in by TargetState. No other behaviour changes.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -6,7 +6,6 @@
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.PromptId
-import org.cicadaarch.dispatch.observation.SharedObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
 import org.cicadaarch.dispatch.quarantine.TrialSchedule
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
@@ -97,27 +96,15 @@
     fun fleetObserved(summary: ObservationSummary) {
         val observedAt = now - summary.age
         val targets = state.targets.builder()
-        state.targets.forEach { (id, target) -> targets[id] = withFleetLoad(target, summary, observedAt) }
+        state.targets.forEach { (id, target) ->
+            val heavy = summary.heavyLoads[id]?.dated(now)
+            val typical = summary.typicalLoads[target.entry.service]
+            targets[id] = target.withFleetLoad(heavy, typical, observedAt)
+        }
         state = state.copy(targets = targets.build(), fleetDemands = FleetDemands(summary.demands, observedAt))
         sendQueued()
     }
 
-    /** A typical load replaces only reports that are too old to be in the summary. */
-    private fun withFleetLoad(target: TargetState, summary: ObservationSummary, observedAt: Timestamp): TargetState {
-        val knownAt = target.usualLoadAt
-        val heavy = summary.heavyLoads[target.entry.id]?.dated(now)
-        val typical = summary.typicalLoads[target.entry.service]
-        return when {
-            heavy != null && (knownAt == null || heavy.at > knownAt) ->
-                target.withUsualLoad(heavy.requests.toDouble(), heavy.at)
-
-            heavy == null && typical != null && (knownAt == null || observedAt - knownAt > OWN_REPORT_TIME) ->
-                target.withUsualLoad(typical, observedAt)
-
-            else -> target
-        }
-    }
-
     fun targetNoticeReceived(entry: TargetEntry, notice: TargetNotice) {
         val notices = state.targetNotices.with(entry, notice, now)
         if (notices == state.targetNotices) return
@@ -406,8 +393,6 @@
         /** Fraction of the retry ratio in use, as the fleet's request count differs slightly from this router's. */
         const val RETRY_RATIO_FRACTION = 0.9
 
-        /** As long as a summary may still have an older report of the target. */
-        val OWN_REPORT_TIME = SharedObservations.LIFETIME
         val MIN_TIME_FOR_RETRY = 20.milliseconds
         val RETRY_AFTER = 150.milliseconds
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -1,6 +1,8 @@
 package org.cicadaarch.dispatch.target
 
 import kotlin.time.Duration.Companion.milliseconds
+import org.cicadaarch.dispatch.observation.DatedLoad
+import org.cicadaarch.dispatch.observation.SharedObservations
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -57,8 +59,22 @@
     fun withLoadReport(report: LoadReport, now: Timestamp): TargetState = withUsualLoad(report.total.toDouble(), now)
         .copy(othersInFlight = (report.total - inFlight).coerceAtLeast(0), reportedAt = now)
 
-    /** The state after the target had [load] requests in all [at] a time, by what other routers know. */
-    fun withUsualLoad(load: Double, at: Timestamp): TargetState {
+    /**
+     * The state after other routers told its [heavy] load, or else the [typical] load of its service as of [observedAt],
+     * each null if not known. A typical load replaces only what is too old to be among the heavy loads.
+     */
+    fun withFleetLoad(heavy: DatedLoad?, typical: Double?, observedAt: Timestamp): TargetState = when {
+        heavy != null && usualLoadAt.let { it == null || heavy.at > it } ->
+            withUsualLoad(heavy.requests.toDouble(), heavy.at)
+
+        heavy == null && typical != null &&
+            usualLoadAt.let { it == null || observedAt - it > SharedObservations.LIFETIME } ->
+            withUsualLoad(typical, observedAt)
+
+        else -> this
+    }
+
+    private fun withUsualLoad(load: Double, at: Timestamp): TargetState {
         val others = (load - inFlight).coerceAtLeast(0.0)
         val weight = maxOf(MIN_REPORT_WEIGHT, 1.0 - reportWeight(at))
         return copy(
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/observation/SharedObservationsTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/observation/SharedObservationsTest.kt
@@ -6,12 +6,9 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import org.cicadaarch.dispatch.target.TargetEntry
+import org.cicadaarch.dispatch.request.DispatchFixture
 import org.cicadaarch.model.RouterAddress
-import org.cicadaarch.model.ServiceName
-import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
-import org.cicadaarch.model.ZoneName
 
 class SharedObservationsTest {
     private val now = Timestamp(100_000)
@@ -83,22 +80,10 @@
     private fun SharedObservations.fleetSummary(at: Timestamp) = summary(ObservationScope.FLEET, TARGETS, at)
 
     private companion object {
-        val SERVICE = ServiceName("service")
+        val SERVICE = DispatchFixture.SERVICE
         val PROMPT = PromptId.of(SERVICE, "prompt")
         val OTHER = RouterAddress("10.0.0.2", 8000)
-        val TARGETS = List(10) {
-            TargetEntry(
-                id = TargetId("target-$it"),
-                service = SERVICE,
-                host = "10.1.0.1",
-                port = it + 1,
-                zone = ZoneName("a"),
-                slots = 32,
-                isDraining = false,
-                startedAtMillis = 1,
-                sequence = 1,
-            )
-        }
+        val TARGETS = List(10) { DispatchFixture.target("target-$it", slots = 32) }
         val HEAVY = TARGETS.first().id
         val LIGHT = TARGETS.drop(1).associate { it.id to AgedLoad(requests = 2, age = 100.milliseconds) }
     }
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/target/TargetSelectorTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/target/TargetSelectorTest.kt
@@ -3,7 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
-import org.cicadaarch.model.ServiceName
+import org.cicadaarch.dispatch.request.DispatchFixture
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.ZoneName
@@ -70,17 +70,8 @@
 
     private fun targets(load: Double): List<TargetState> = List(30) { known(entry(it), load) }
 
-    private fun known(entry: TargetEntry, load: Double) = TargetState(entry).withUsualLoad(load, now)
+    private fun known(entry: TargetEntry, load: Double) =
+        TargetState(entry).withFleetLoad(heavy = null, typical = load, observedAt = now)
 
-    private fun entry(number: Int) = TargetEntry(
-        id = TargetId("target-$number"),
-        service = ServiceName("service"),
-        host = "10.1.0.1",
-        port = number + 1,
-        zone = ZoneName("a"),
-        slots = 64,
-        isDraining = false,
-        startedAtMillis = 1,
-        sequence = 1,
-    )
+    private fun entry(number: Int) = DispatchFixture.target("target-$number", slots = 64)
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/AggregatorExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/AggregatorExchange.kt
@@ -6,8 +6,11 @@
 import org.cicadaarch.model.RouterAddress
 
 /**
- * Keeps one long poll open to each of the other routers that merge observations ([ObservationAggregator]), so that each of
- * them soon knows what all of them received.
+ * Keeps one long poll open to each of the other routers that merge observations ([ObservationAggregator]), so that each
+ * of them soon knows what all of them received.
+ *
+ * A router that responds at once is polled again no sooner than it makes a new summary, one that sends no summary after
+ * [retryInterval].
  */
 internal class AggregatorExchange(
     private val scheduler: TaskScheduler,
@@ -25,9 +28,12 @@
 
     private fun pollOnce(router: RouterAddress) {
         polled += router
+        val sentAt = scheduler.now()
         poll(router) { summary ->
             if (summary != null) aggregator.receive(router, summary)
-            scheduler.schedule(if (summary != null) Duration.ZERO else retryInterval) {
+            val interval = if (summary != null) ObservationAggregator.INTERVAL else retryInterval
+            val timeLeft = interval - (scheduler.now() - sentAt)
+            scheduler.schedule(timeLeft.coerceAtLeast(Duration.ZERO)) {
                 polled -= router
                 update()
             }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
@@ -100,16 +100,16 @@
         }
     }
 
-    private companion object {
+    companion object {
         /** Also the shortest pause between two early responses to the same router. */
         val INTERVAL = 150.milliseconds
 
         /** A task that runs so late shows that the process was paused or its event loop busy. */
-        val MAX_LATENESS = 250.milliseconds
+        private val MAX_LATENESS = 250.milliseconds
 
         /** At one of several routers that merge: two requests or so for one prompt within a second. */
-        const val FIRSTHAND_RISE = 2.0
-        const val FLEET_RISE = 6.0
-        const val MAX_LOGGED = 4
+        private const val FIRSTHAND_RISE = 2.0
+        private const val FLEET_RISE = 6.0
+        private const val MAX_LOGGED = 4
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -27,7 +27,7 @@
     private val prefixWatchers: Map<String, PrefixWatcher>,
     private val aggregator: ObservationAggregator,
 ) {
-    private val pending = LinkedHashSet<PeerPoll>()
+    private val pending = LinkedHashSet<PendingPoll>()
     private var isResponseScheduled = false
     private var livePeers = emptyList<String>()
     private var livePeersExpireAt: Timestamp? = null
@@ -54,7 +54,7 @@
         }
         val revisions = parameters.mapNotNull { (key, value) -> value.toLongOrNull()?.let { key to it } }.toMap()
         val waitMillis = revisions[PeerQuery.WAIT]?.coerceIn(0, PeerQuery.MAX_WAIT.inWholeMilliseconds) ?: 0
-        val poll = PeerPoll(revisions, scope, receivedAt = scheduler.now(), respond)
+        val poll = PendingPoll(revisions, scope, receivedAt = scheduler.now(), respond)
         val mayWait = waitMillis > 0 && isWatchingStore() && pending.size < MAX_PENDING_POLLS
         if (!mayWait || hasUpdatesFor(poll)) return respondTo(poll, body(contentOf(poll)))
         pending += poll
@@ -74,7 +74,7 @@
         respondTo { hasUpdatesFor(it) }
     }
 
-    private fun respondTo(isDue: (PeerPoll) -> Boolean) {
+    private fun respondTo(isDue: (PendingPoll) -> Boolean) {
         val due = pending.filter { isDue(it) }
         pending.removeAll(due.toSet())
         due.groupBy { contentOf(it) }.forEach { (content, polls) ->
@@ -86,10 +86,10 @@
     /** Others must learn at once that this router no longer watches for them. */
     private fun respondToAll() = respondTo { true }
 
-    private fun respondTo(poll: PeerPoll, body: String) =
+    private fun respondTo(poll: PendingPoll, body: String) =
         poll.respond(HttpReply(HttpResponseStatus.OK, body, "application/json"))
 
-    private fun contentOf(poll: PeerPoll): Content {
+    private fun contentOf(poll: PendingPoll): Content {
         val held = (scheduler.now() - poll.receivedAt).inWholeMilliseconds
         return Content(poll.revisions, poll.scope, heldMillis = held - held % HELD_STEP_MILLIS)
     }
@@ -123,7 +123,7 @@
         return livePeers
     }
 
-    private fun hasUpdatesFor(poll: PeerPoll): Boolean = prefixWatchers.any { (prefix, watcher) ->
+    private fun hasUpdatesFor(poll: PendingPoll): Boolean = prefixWatchers.any { (prefix, watcher) ->
         poll.revisions[prefix].let { it != null && it < watcher.state.revision }
     }
 
@@ -137,7 +137,7 @@
     private fun isWatchingStore(): Boolean = prefixWatchers.values.all { it.state.isWatchingStore }
 
     /** A poll by a router that knows [revisions], by prefix, and asks for observations of [scope]. */
-    private class PeerPoll(
+    private class PendingPoll(
         val revisions: Map<String, Long>,
         val scope: ObservationScope?,
         val receivedAt: Timestamp,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -1,23 +1,19 @@
 package org.cicadaarch.forwarding.peer
 
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.QueryStringEncoder
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.serialization.json.Json
-import org.cicadaarch.dispatch.observation.ObservationScope
+import org.cicadaarch.dispatch.observation.ObservationReport
+import org.cicadaarch.dispatch.observation.ObservationScope.FIRSTHAND
+import org.cicadaarch.dispatch.observation.ObservationScope.FLEET
 import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.watch.WatchState
 import org.cicadaarch.forwarding.TaskScheduler
 import org.cicadaarch.forwarding.fleet.PrefixWatcher
 import org.cicadaarch.forwarding.fleet.StoreProbe
-import org.cicadaarch.forwarding.http.EndpointRequest
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
-import org.cicadaarch.store.HttpOutcome
-import org.cicadaarch.store.UntrustedJson
 
 /**
  * Exchanges store contents with other routers, so that few routers watch the store on behalf of all, and a router that
@@ -27,6 +23,9 @@
  * Any other router keeps [CONCURRENT_POLLS] long polls open, each to one of the watching routers in turn, so that a
  * watching router which has lost the store unnoticed delays updates by no more than one poll.
  *
+ * With its polls a router reports what it observes of targets and prompts, and it is told what the fleet observes: the
+ * watching routers merge the reports ([ObservationAggregator]) and tell each other ([AggregatorExchange]).
+ *
  * A watching router asks the store at intervals whether it is still served ([StoreProbe]) and says so to the others
  * when it is not. A router that hears of none that watches does so on its own account ([FallbackWatch]). News of the
  * store may take [bound] to reach all routers.
@@ -43,6 +42,7 @@
     bound: Duration,
 ) {
     private val directory = PeerDirectory(self, seeds, bound)
+    private val client = PeerClient(self, transport, scheduler)
     private val aggregator = ObservationAggregator(dispatch, scheduler, imbalanceFactor)
     private val server = PeerServer(scheduler, directory, prefixWatchers, aggregator)
     private val aggregatorExchange = AggregatorExchange(
@@ -53,7 +53,6 @@
         poll = ::pollAggregator,
     )
     private var lastPollAt = Timestamp(0)
-    private var lastTransit = Duration.ZERO
     private val random = Random(self.hashCode())
     private val startedAt = scheduler.now()
     private var allPolledAt: Timestamp? = null
@@ -87,11 +86,7 @@
         when {
             !isWatchEnabled() && others.isNotEmpty() -> {
                 pollCount += 1
-                poll(
-                    others[pollCount.mod(others.size)],
-                    nextWait(now),
-                    nextReport(),
-                ) { result ->
+                poll(others[pollCount.mod(others.size)], nextWait(now), dispatch.takeReport()) { result ->
                     if (result != PollResult.WATCHING) watcherLost()
                     scheduleNext(poller, if (result == PollResult.WATCHING) Duration.ZERO else takeoverPollInterval)
                 }
@@ -115,9 +110,6 @@
         aggregatorExchange.update()
     }
 
-    /** The report takes about as long on its way as the last response did. */
-    private fun nextReport() = ReportMessage.of(dispatch.takeReport().aged(lastTransit))
-
     /** Polls that start together wait for different times, so that reports leave at even intervals. */
     private fun nextWait(now: Timestamp): Duration {
         val wait = if (now - lastPollAt < maxWait / CONCURRENT_POLLS) maxWait / CONCURRENT_POLLS else maxWait
@@ -132,7 +124,7 @@
     private fun watcherLost() {
         fallbackWatch.watcherLost()
         val now = scheduler.now()
-        if (allPolledAt.let { it != null && now - it < RESPONSE_TIMEOUT }) return
+        if (allPolledAt.let { it != null && now - it < PeerClient.RESPONSE_TIMEOUT }) return
         allPolledAt = now
         (directory.watchers(now) - self).forEach { poll(it, Duration.ZERO) {} }
     }
@@ -165,94 +157,45 @@
         return interval * random.nextDouble(MIN_JITTER, MAX_JITTER)
     }
 
+    /** Polls [peer] for updates of the store. With [report], it is told this too, and asked what the fleet observes. */
     private fun poll(
         peer: RouterAddress,
         wait: Duration,
-        report: ReportMessage? = null,
+        report: ObservationReport? = null,
         onDone: (PollResult) -> Unit,
     ) {
-        val query = query(wait)
-        if (report != null) query.addParam(PeerQuery.OBSERVATIONS, ObservationScope.FLEET.name)
-        prefixWatchers.forEach { (prefix, watcher) -> query.addParam(prefix, watcher.state.revision.toString()) }
-        val body = report?.let { Json.encodeToString(it) }.orEmpty()
+        val revisions = prefixWatchers.mapValues { it.value.state.revision }
         transport.closeAllExcept(directory.peers)
-        val sentAt = scheduler.now()
-        transport.poll(peer, EndpointRequest(query.toString(), body), wait + RESPONSE_TIMEOUT) { outcome ->
-            scheduler.execute {
-                onDone(
-                    handleOutcome(peer, outcome) {
-                        if (!aggregator.isActive) summaryOf(it, sentAt)?.let(dispatch::apply)
-                    },
-                )
-            }
+        client.send(PeerPoll(wait, revisions, scope = report?.let { FLEET }, report), peer) { answer ->
+            if (!aggregator.isActive) answer?.summary?.let(dispatch::apply)
+            onDone(handle(peer, answer?.response))
         }
     }
 
-    /** Asks [peer] for its firsthand observations. */
-    private fun pollAggregator(peer: RouterAddress, onSummary: (ObservationSummary?) -> Unit) {
-        val query = query(maxWait)
-        query.addParam(PeerQuery.OBSERVATIONS, ObservationScope.FIRSTHAND.name)
-        val sentAt = scheduler.now()
-        transport.poll(peer, EndpointRequest(query.toString()), maxWait + RESPONSE_TIMEOUT) { outcome ->
-            scheduler.execute {
-                var summary: ObservationSummary? = null
-                handleOutcome(peer, outcome) { summary = summaryOf(it, sentAt) }
-                onSummary(summary)
-            }
+    /**
+     * Asks [peer] for its firsthand observations. A failure is not held against it: polls for updates find out whether
+     * it is lost, and a router that is cut off would soon evict all others.
+     */
+    private fun pollAggregator(peer: RouterAddress, onSummary: (ObservationSummary?) -> Unit) =
+        client.send(PeerPoll(maxWait, scope = FIRSTHAND), peer) { answer ->
+            if (answer != null) handle(peer, answer.response)
+            onSummary(answer?.summary)
         }
-    }
 
-    private fun query(wait: Duration): QueryStringEncoder {
-        val query = QueryStringEncoder(PeerQuery.PATH)
-        query.addParam(PeerQuery.FROM, self.toString())
-        query.addParam(PeerQuery.WAIT, wait.inWholeMilliseconds.toString())
-        return query
-    }
-
-    /** The summary in [response], which may have taken all the time on its way for which the poll was not held. */
-    private fun summaryOf(response: PeerResponse, sentAt: Timestamp): ObservationSummary? {
-        val held = (response.heldMillis ?: 0).milliseconds
-        lastTransit = (scheduler.now() - sentAt - held).coerceAtLeast(Duration.ZERO)
-        return response.observations?.toSummary()?.aged(lastTransit)
-    }
-
-    /** Applies the response of [peer] and passes it to [onResponse]. */
-    private fun handleOutcome(
-        peer: RouterAddress,
-        outcome: HttpOutcome,
-        onResponse: (PeerResponse) -> Unit,
-    ): PollResult {
+    /** Applies the [response] of [peer], null if there was none. */
+    private fun handle(peer: RouterAddress, response: PeerResponse?): PollResult {
         val now = scheduler.now()
-        val response = (outcome as? HttpOutcome.Answered)?.takeIf { it.status == HttpResponseStatus.OK.code() }
-            ?.let { decode(peer, it.body) }
         if (response == null) {
             directory.recordFailure(peer, now)
-            LogEvents.debug("peer-silent") {
-                "peer" to peer
-                "outcome" to outcome
-            }
             return PollResult.FAILED
         }
         directory.recordContact(peer, now, response.isWatchingStore)
         if (response.isWatchingStore) fallbackWatch.heardOfWatcher()
         response.routers.mapNotNull { PeerQuery.parseAddress(it) }.forEach { directory.addReported(it, now) }
-        onResponse(response)
         response.updates.forEach { prefixWatchers[it.prefix]?.applyPeerUpdate(peer, it.toUpdate()) }
         return if (response.isWatchingStore) PollResult.WATCHING else PollResult.NOT_WATCHING
     }
 
-    private fun decode(peer: RouterAddress, body: String): PeerResponse? =
-        UntrustedJson.decode(body) { PeerJson.decodeFromString<PeerResponse>(it) }.fold(
-            ifLeft = { error ->
-                LogEvents.warn("peer-answer-unreadable") {
-                    "peer" to peer
-                    "error" to error
-                }
-                null
-            },
-            ifRight = { it },
-        )
-
     private enum class PollResult { WATCHING, NOT_WATCHING, FAILED }
 
     private companion object {
@@ -286,7 +229,6 @@
         /** A new router polls often, to learn soon whether others watch the store. */
         val STARTUP_POLL_INTERVAL = 200.milliseconds
         val STARTUP_TIME = 2000.milliseconds
-        val RESPONSE_TIMEOUT = 500.milliseconds
         const val MIN_JITTER = 0.8
         const val MAX_JITTER = 1.2
     }
