--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/DecayingSum.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/DecayingSum.kt
@@ -6,8 +6,8 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * A sum of work over the last second or so, as the number of requests that it keeps running at once: [value] as of [at].
- * The weight of an amount falls to 1/e within [MEMORY].
+ * A sum of work over the last second or so, as the number of requests that it keeps running at once: [value] as of
+ * [at]. The weight of an amount falls to 1/e within [MEMORY].
  */
 data class DecayingSum(private val value: Double, private val at: Timestamp) {
     /** The sum at [now]. */
@@ -18,7 +18,7 @@
     fun plus(work: Duration, now: Timestamp) = DecayingSum(at(now) + work / MEMORY, now)
 
     companion object {
-        /** Long against the pause between two requests for a prompt that matters, short against a load test window. */
+        /** Several requests for a prompt in demand fall into this time, and demand that has ended is soon forgotten. */
         val MEMORY = 1_000.milliseconds
 
         /** The sum without any work. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/PromptId.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/PromptId.kt
@@ -4,8 +4,8 @@
 import org.cicadaarch.model.ServiceName
 
 /**
- * Identifies a prompt of a service in what routers tell each other, by a short hash. Two prompts with the same one count
- * as one, which spreads them a little wider than needed.
+ * Identifies a prompt of a service in what routers tell each other, by a short hash. Two prompts with the same one
+ * count as one, which spreads them a little wider than needed.
  */
 @JvmInline
 value class PromptId(private val hash: Int) {
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
@@ -12,8 +12,8 @@
 
 /**
  * The observations that a router merges on behalf of others: the reports of routers, and the firsthand summaries of the
- * other routers that merge. Of several reports of a target, the newest holds. A load older than [LIFETIME] is dropped, a
- * summary after [SUMMARY_LIFETIME].
+ * other routers that merge. Of several reports of a target, the newest holds. A load older than [LIFETIME] is dropped,
+ * a summary after [SUMMARY_LIFETIME].
  */
 data class SharedObservations(
     private val imbalanceFactor: Double,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -2,9 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import org.cicadaarch.dispatch.observation.FleetDemands
-import org.cicadaarch.dispatch.observation.LocalObservations
-import org.cicadaarch.dispatch.observation.RunTimes
 import org.cicadaarch.dispatch.target.PromptLocations
 import org.cicadaarch.dispatch.target.TargetNotices
 import org.cicadaarch.dispatch.target.TargetState
@@ -21,7 +18,5 @@
     val promptLocations: PromptLocations = PromptLocations(),
     val heldRequests: HeldRequests = HeldRequests(),
     val targetNotices: TargetNotices = TargetNotices(),
-    val runTimes: RunTimes = RunTimes(),
-    val localObservations: LocalObservations = LocalObservations(),
-    val fleetDemands: FleetDemands = FleetDemands(),
+    val observations: RequestObservations = RequestObservations(),
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -2,10 +2,8 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.dispatch.observation.DatedLoad
-import org.cicadaarch.dispatch.observation.FleetDemands
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.observation.ObservationSummary
-import org.cicadaarch.dispatch.observation.PromptId
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
 import org.cicadaarch.dispatch.quarantine.TrialSchedule
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
@@ -37,7 +35,9 @@
     fun step(): Step<DispatchState, DispatchEffect> = Step(state, effects)
 
     fun requestReceived(request: DispatchRequest) {
-        addToRetryBudget(request.service)
+        val before = state.retryBudgets[request.service] ?: RetryBudget(settings.retrySlack)
+        val budget = before.withRequest(settings.retryRatio * RETRY_RATIO_FRACTION, capacity = settings.retrySlack)
+        state = state.copy(retryBudgets = state.retryBudgets.put(request.service, budget))
         sendOrQueue(OpenRequest(request = request, arrivedAt = now, phase = Queued(now)))
     }
 
@@ -55,7 +55,7 @@
     fun attemptEnded(id: ExchangeId, attempt: Int, result: AttemptResult) {
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
         updateTarget(inFlight) { withResult(it.withAttemptEnded(), result) }
-        recordRunTime(open, inFlight, result)
+        state = state.copy(observations = state.observations.withResult(open.request, inFlight, result, now))
         when (result) {
             is AttemptResult.Answered -> if (open.hasResponseStarted && !result.isDelivered) {
                 attemptBroken(open, "not-resumed")
@@ -70,11 +70,6 @@
         sendQueued()
     }
 
-    private fun recordRunTime(open: OpenRequest, inFlight: InFlight, result: AttemptResult) {
-        if (result !is AttemptResult.Answered || result.status >= MIN_SERVER_ERROR) return
-        state = state.copy(runTimes = state.runTimes.with(open.request.route, now - inFlight.sentAt))
-    }
-
     fun clientDisconnected(id: ExchangeId) {
         val open = state.requests[id] ?: return
         cancelAttempt(open)
@@ -84,13 +79,13 @@
 
     fun loadReported(target: TargetId, load: LoadReport) {
         updateTarget(target) { it.withLoadReport(load, now) }
-        val observed = state.localObservations.withLoad(target, DatedLoad(load.total, at = now))
-        state = state.copy(localObservations = observed)
+        val unreported = state.observations.unreported.withLoad(target, DatedLoad(load.total, at = now))
+        state = state.copy(observations = state.observations.copy(unreported = unreported))
         sendQueued()
     }
 
     fun observationsReported() {
-        state = state.copy(localObservations = LocalObservations())
+        state = state.copy(observations = state.observations.copy(unreported = LocalObservations()))
     }
 
     fun fleetObserved(summary: ObservationSummary) {
@@ -101,7 +96,8 @@
             val typical = summary.typicalLoads[target.entry.service]
             targets[id] = target.withFleetLoad(heavy, typical, observedAt)
         }
-        state = state.copy(targets = targets.build(), fleetDemands = FleetDemands(summary.demands, observedAt))
+        val observations = state.observations.withSummary(summary, observedAt)
+        state = state.copy(targets = targets.build(), observations = observations)
         sendQueued()
     }
 
@@ -231,7 +227,8 @@
         val rule = state.heldRequests.ruleFor(open.request.traits)
         if (rule != null) return holdBack(open, rule)
         val selection = selectTarget(open, open.triedTargets)
-        val backOffEnd = if (selection == null) backOffEnd(open.request.service) else null
+        val entries = targetsOf(open.request.service).map { it.entry }
+        val backOffEnd = if (selection == null) state.targetNotices.backOffEnd(entries, now) else null
         when {
             selection != null -> send(open, selection)
 
@@ -242,9 +239,6 @@
         }
     }
 
-    private fun backOffEnd(service: ServiceName): Timestamp? =
-        state.targetNotices.backOffEnd(targetsOf(service).map { it.entry }, now)
-
     private fun holdBack(open: OpenRequest, rule: QuarantineRule) {
         effects += DispatchEffect.RequestHeldBack(open.request.id, rule)
         fail(open, RequestFailure.NotRun(HELD_BACK, retryAfter = TrialSchedule.FIRST_DELAY))
@@ -261,7 +255,7 @@
             promptKey = request.promptKey,
             excluded = excluded,
             tieBreaker = request.id.value.hashCode(),
-            promptDemand = promptId(request)?.let { state.fleetDemands.of(it, now) } ?: 0.0,
+            promptDemand = state.observations.demand(request, now),
         )
         val willing = targetsOf(request.service).filter { state.targetNotices.wantsRequests(it.entry, now) }
         return selector.select(willing, criteria, now)
@@ -281,7 +275,7 @@
         )
         updateTarget(id) { it.withAttemptSent(now) }
         state = state.copy(heldRequests = state.heldRequests.withSent(open.request.traits))
-        recordWork(open.request)
+        state = state.copy(observations = state.observations.withSent(open.request))
         effects += DispatchEffect.Send(
             id = open.request.id,
             attempt = attempt,
@@ -290,23 +284,11 @@
             connectTimeout = RequestTimers.connectTimeout(open),
             estimatedLoad = selection.load,
             loadBound = selection.loadBound,
-            loadReportAge = loadKnownAt(open.request, target)?.let { now - it },
+            loadReportAge = selection.loadKnownAt?.let { now - it },
             cacheSource = open.request.promptKey?.let { recordPromptSent(open.request.service, it, id) },
         )
     }
 
-    private fun loadKnownAt(request: DispatchRequest, target: TargetState): Timestamp? =
-        if (request.promptKey == null) target.reportedAt else target.usualLoadAt
-
-    private fun recordWork(request: DispatchRequest) {
-        val prompt = promptId(request) ?: return
-        val observed = state.localObservations.withRequest(prompt, state.runTimes.usual(request.route))
-        state = state.copy(localObservations = observed)
-    }
-
-    private fun promptId(request: DispatchRequest): PromptId? =
-        request.promptKey?.let { PromptId.of(request.service, it) }
-
     /** Records that the prompt goes to [selected] and returns the target from which its cache may be copied. */
     private fun recordPromptSent(service: ServiceName, promptKey: String, selected: TargetId): TargetEntry? {
         val lastTarget = state.promptLocations.lastTarget(promptKey)
@@ -347,12 +329,6 @@
         return if (open.attempts == attempt) open to inFlight else null
     }
 
-    private fun addToRetryBudget(service: ServiceName) {
-        val before = state.retryBudgets[service] ?: RetryBudget(settings.retrySlack)
-        val after = before.withRequest(settings.retryRatio * RETRY_RATIO_FRACTION, capacity = settings.retrySlack)
-        state = state.copy(retryBudgets = state.retryBudgets.put(service, after))
-    }
-
     /** Takes one retry from the budget of [service]; returns false if the budget does not allow it. */
     private fun takeRetry(service: ServiceName): Boolean {
         val budget = state.retryBudgets[service] ?: return false
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelection.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelection.kt
@@ -1,7 +1,14 @@
 package org.cicadaarch.dispatch.target
 
+import org.cicadaarch.model.Timestamp
+
 /**
- * The choice of [target] for an attempt. By what is known, it holds [load] requests, and no target of its service should
- * hold more than [loadBound].
+ * The choice of [target] for an attempt. By what is known as of [loadKnownAt], it holds [load] requests, and no target
+ * of its service should hold more than [loadBound].
  */
-data class TargetSelection(val target: TargetState, val load: Double, val loadBound: Double)
+data class TargetSelection(
+    val target: TargetState,
+    val load: Double,
+    val loadKnownAt: Timestamp?,
+    val loadBound: Double,
+)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -24,10 +24,14 @@
     fun select(targets: Collection<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetSelection? {
         val loads = ServiceLoads(eligible(targets, criteria, now), imbalanceFactor, now)
         if (criteria.promptKey == null) {
-            return leastLoaded(loads.targets, criteria, now)?.let { TargetSelection(it, it.load(now), loads.bound) }
+            return leastLoaded(loads.targets, criteria, now)
+                ?.let { TargetSelection(it, it.load(now), it.reportedAt, loads.bound) }
         }
         return byPrompt(loads, criteria.promptKey, criteria)
-            ?.let { TargetSelection(loads.targets[it], loads.usual(it), loads.bound) }
+            ?.let {
+                val target = loads.targets[it]
+                TargetSelection(target, loads.usual(it), target.usualLoadAt, loads.bound)
+            }
     }
 
     /**
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -60,8 +60,8 @@
         .copy(othersInFlight = (report.total - inFlight).coerceAtLeast(0), reportedAt = now)
 
     /**
-     * The state after other routers told its [heavy] load, or else the [typical] load of its service as of [observedAt],
-     * each null if not known. A typical load replaces only what is too old to be among the heavy loads.
+     * The state after other routers told its [heavy] load, or else the [typical] load of its service as of
+     * [observedAt], each null if not known. A typical load replaces only what is too old to be among the heavy loads.
      */
     fun withFleetLoad(heavy: DatedLoad?, typical: Double?, observedAt: Timestamp): TargetState = when {
         heavy != null && usualLoadAt.let { it == null || heavy.at > it } ->
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -113,7 +113,7 @@
     override val targetEntries: List<TargetEntry> get() = state.targets.values.map { it.entry }
 
     override fun takeReport(): ObservationReport {
-        val report = state.localObservations.report(NanoTimeClock.now())
+        val report = state.observations.unreported.report(NanoTimeClock.now())
         submit(DispatchEvent.ObservationsReported)
         return report
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/http/HttpEndpoint.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.RouterAddress
@@ -28,9 +29,9 @@
  * An HTTP server at [address]; with port 0 the system picks a free port.
  *
  * [onRequest] is called with each request and a function that sends the reply, which it may call at once or later. A
- * connection with a body of more than [MAX_BODY_BYTES] is closed. Large replies are compressed for clients that accept it. A pipelined
- * request waits until the reply to the one before it has been sent, so that a client which reads nothing gets no more;
- * a connection with more than [MAX_PIPELINED_REQUESTS] is closed.
+ * connection with a body of more than [MAX_BODY_BYTES] is closed. Large replies are compressed for clients that
+ * accept it. A pipelined request waits until the reply to the one before it has been sent, so that a client which reads
+ * nothing gets no more; a connection with more than [MAX_PIPELINED_REQUESTS] is closed.
  */
 internal class HttpEndpoint(
     private val address: RouterAddress,
@@ -73,7 +74,7 @@
     private inner class RequestHandler : SimpleChannelInboundHandler<HttpObject>(HttpObject::class.java) {
         private val waiting = ArrayDeque<EndpointRequest>()
         private var uri = ""
-        private val body = StringBuilder()
+        private val body = ByteArrayOutputStream()
         private var isBusy = false
 
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
@@ -87,20 +88,21 @@
 
         private fun beginRequest(request: HttpRequest) {
             uri = request.uri()
-            body.clear()
+            body.reset()
         }
 
         private fun addContent(context: ChannelHandlerContext, content: HttpContent) {
-            if (body.length + content.content().readableBytes() > MAX_BODY_BYTES) {
+            val part = content.content()
+            if (body.size() + part.readableBytes() > MAX_BODY_BYTES) {
                 context.close()
                 return
             }
-            body.append(content.content().toString(Charsets.UTF_8))
+            part.readBytes(body, part.readableBytes())
             if (content is LastHttpContent) endRequest(context)
         }
 
         private fun endRequest(context: ChannelHandlerContext) {
-            waiting.addLast(EndpointRequest(uri, body.toString()))
+            waiting.addLast(EndpointRequest(uri, body.toString(Charsets.UTF_8)))
             if (waiting.size > MAX_PIPELINED_REQUESTS) context.close() else handleNext(context)
         }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
@@ -13,8 +13,9 @@
 /**
  * Merges what routers observe of targets and prompts, while this router does so on behalf of others.
  *
- * Every [INTERVAL] it makes new summaries, and uses that of the whole fleet in its own [dispatch]. [onRise] is called when
- * the demand for a prompt has risen so far that routers which wait for a summary of the scope should get it at once.
+ * Every [INTERVAL] it makes new summaries, and uses that of the whole fleet in its own [dispatch]. [onRise] is called
+ * when the demand for a prompt has risen so far that routers which wait for a summary of the scope should get it at
+ * once.
  */
 internal class ObservationAggregator(
     private val dispatch: ObservedDispatch,
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/LoadKind.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/LoadKind.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * A kind of request: its [share] of all, the number of [prompts] that its requests have, and the mean time that a target
- * takes for one.
+ * A kind of request: its [share] of all, the number of [prompts] that its requests have, and the mean time that a
+ * target takes for one.
  */
 internal data class LoadKind(val name: String, val share: Double, val prompts: Int, val meanRunTime: Duration) {
     companion object {
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
@@ -38,7 +38,7 @@
     override val targetEntries: List<TargetEntry> get() = state.targets.values.map { it.entry }
 
     override fun takeReport(): ObservationReport {
-        val report = state.localObservations.report(time.now)
+        val report = state.observations.unreported.report(time.now)
         submit(DispatchEvent.ObservationsReported)
         return report
     }
