--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
@@ -97,17 +97,17 @@
     private class LoadSummary(val service: ServiceName, val typical: Double, val heavy: Map<TargetId, DatedLoad>)
 
     companion object {
-        /** A target's load is another one after this time. */
+        /** By then, most of the requests that a report counted have ended. */
         val LIFETIME = 1_200.milliseconds
 
         /** Longer than another router may take to send the next one. */
         val SUMMARY_LIFETIME = 2_000.milliseconds
 
-        /** The demand from which a prompt matters, in all and at one of the routers that merge. */
+        /** Less demand is left out of a summary: of the whole fleet, and of one of the routers that merge. */
         const val MIN_DEMAND = 2.0
         const val MIN_FIRSTHAND_DEMAND = 0.8
 
-        /** Share of the load bound from which a target is told of by itself. */
+        /** A summary lists a target by itself if its load is at least this share of the load bound. */
         private const val HEAVY_SHARE = 0.5
 
         /** Bounds the size of a summary. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -10,10 +10,10 @@
  *
  * [inFlight] counts the attempts of this router; [othersInFlight] is the number of requests from other routers at
  * [reportedAt], by the last load report that this router received, and [usualOthersInFlight] a moving average of that
- * number, also by what other routers knew, as of [usualLoadAt]. While attempts are in flight, [silentSince] is when the
- * target last sent data. After a failure without a usable response
- * the target is ejected until [ejectedUntil]; [failures] counts these failures since the last success. [errorRate] is
- * an exponential moving average.
+ * number which also takes in what other routers report, as of [usualLoadAt]. While attempts are in flight,
+ * [silentSince] is when the target last sent data. After a failure without a usable response the target is ejected
+ * until [ejectedUntil]; [failures] counts these failures since the last success. [errorRate] is an exponential moving
+ * average.
  */
 data class TargetState(
     val entry: TargetEntry,
