Send nothing more to targets of an evacuated zone

Change: routers follow the request with the configuration and select no target of such a zone; caches may be copied out for half of the bound. The warm-up limits of services, the remaining warm-up of targets, the relative run time and the tokens of requests are decoded, for the parts in docs/design/hard-load.md.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEvent.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEvent.kt
@@ -2,10 +2,13 @@
 
 import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
+import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.dispatch.target.TargetNotice
+import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
+import org.cicadaarch.model.ZoneName
 
 /**
  * An input to the dispatch of requests, handled by [DispatchReducer]. The attempts of a request are numbered from 1.
@@ -41,6 +44,12 @@
     /** The registered targets are now [entries]. */
     data class TargetsChanged(val entries: List<TargetEntry>) : DispatchEvent()
 
+    /** The limits of the services are now [services]. */
+    data class ServicesChanged(val services: Map<ServiceName, ServiceLimits>) : DispatchEvent()
+
+    /** Exactly [zones] are evacuated from now on. */
+    data class ZonesEvacuated(val zones: Set<ZoneName>) : DispatchEvent()
+
     /** Requests are held back by [rules] from now on. */
     data class QuarantineChanged(val rules: List<QuarantineRule>) : DispatchEvent()
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
@@ -23,6 +23,8 @@
             DispatchEvent.ObservationsReported -> transition.observationsReported()
             is DispatchEvent.FleetObserved -> transition.fleetObserved(event.summary)
             is DispatchEvent.TargetsChanged -> transition.targetsChanged(event.entries)
+            is DispatchEvent.ServicesChanged -> transition.servicesChanged(event.services)
+            is DispatchEvent.ZonesEvacuated -> transition.zonesEvacuated(event.zones)
             is DispatchEvent.QuarantineChanged -> transition.quarantineChanged(event.rules)
             is DispatchEvent.TrialGranted -> transition.trialGranted(event.rule)
             DispatchEvent.Stopping -> transition.stopping()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchRequest.kt
@@ -11,7 +11,7 @@
  *
  * [priority] 0 is the most urgent. [promptKey] identifies the part of the prompt that the request shares with others;
  * it is null if there is no prompt or the route has no prompt affinity. [traits] are those by which requests that crash
- * targets are recognized.
+ * targets are recognized. [work] is null if the client does not state it.
  */
 data class DispatchRequest(
     val id: ExchangeId,
@@ -21,4 +21,5 @@
     val timeAllowed: Duration,
     val promptKey: String?,
     val traits: Set<RequestTrait> = emptySet(),
+    val work: RequestWork? = null,
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.dispatch.evacuation.Evacuations
+import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.PromptLocations
 import org.cicadaarch.dispatch.target.TargetNotices
 import org.cicadaarch.dispatch.target.TargetState
@@ -19,4 +21,6 @@
     val heldRequests: HeldRequests = HeldRequests(),
     val targetNotices: TargetNotices = TargetNotices(),
     val observations: RequestObservations = RequestObservations(),
+    val services: Map<ServiceName, ServiceLimits> = emptyMap(),
+    val evacuations: Evacuations = Evacuations(),
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.dispatch.request
 
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.observation.ObservationSummary
@@ -9,6 +10,7 @@
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.Queued
 import org.cicadaarch.dispatch.routing.RetryPolicy
+import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.SelectionCriteria
 import org.cicadaarch.dispatch.target.TargetEntry
@@ -20,6 +22,7 @@
 import org.cicadaarch.model.Step
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.ZoneName
 
 /**
  * The handling of one event: collects the changes of the state and the effects.
@@ -30,7 +33,8 @@
     private val now: Timestamp,
 ) {
     private val effects = mutableListOf<DispatchEffect>()
-    private val selector = TargetSelector(settings.zone, settings.imbalanceFactor)
+    private val selector: TargetSelector
+        get() = TargetSelector(settings.zone, settings.imbalanceFactor, state.evacuations)
 
     fun step(): Step<DispatchState, DispatchEffect> = Step(state, effects)
 
@@ -125,6 +129,15 @@
     private fun attemptsAt(entry: TargetEntry): Int =
         state.requests.values.count { (it.phase as? InFlight)?.entry?.isSameProcess(entry) == true }
 
+    fun servicesChanged(services: Map<ServiceName, ServiceLimits>) {
+        state = state.copy(services = services)
+    }
+
+    fun zonesEvacuated(zones: Set<ZoneName>) {
+        state = state.copy(evacuations = state.evacuations.with(zones, now))
+        sendQueued()
+    }
+
     fun quarantineChanged(rules: List<QuarantineRule>) {
         state = state.copy(heldRequests = state.heldRequests.withRules(rules))
         sendQueued()
@@ -232,6 +245,9 @@
         when {
             selection != null -> send(open, selection)
 
+            entries.isNotEmpty() && entries.all { state.evacuations.contains(it.zone) } ->
+                fail(open, RequestFailure.NotRun(EVACUATED, RetryAfter.spread(EVACUATED_RETRY_AFTER, open.request)))
+
             backOffEnd != null && backOffEnd >= RequestTimers.nextTimeout(open) ->
                 fail(open, RequestFailure.NotRun(BACKING_OFF, RetryAfter.spread(backOffEnd - now, open.request)))
 
@@ -293,7 +309,9 @@
     private fun recordPromptSent(service: ServiceName, promptKey: String, selected: TargetId): TargetEntry? {
         val lastTarget = state.promptLocations.lastTarget(promptKey)
         state = state.copy(promptLocations = state.promptLocations.withSent(promptKey, selected))
-        return selector.cacheSource(targetsOf(service), promptKey, selected, lastTarget, now)?.entry
+        val sources = targetsOf(service)
+            .filter { state.evacuations.allowCacheCopies(it.entry.zone, settings.evacuationTime, now) }
+        return selector.cacheSource(sources, promptKey, selected, lastTarget, now)?.entry
     }
 
     private fun targetsOf(service: ServiceName): List<TargetState> =
@@ -375,6 +393,12 @@
         /** Reason of a refusal because all targets want no requests for some time. */
         const val BACKING_OFF = "targets-back-off"
 
+        /** Reason of a refusal because all targets lie in zones that are evacuated. */
+        const val EVACUATED = "evacuated"
+
+        /** Operators take minutes to take an evacuation back, so sooner retries are futile. */
+        val EVACUATED_RETRY_AFTER = 1.seconds
+
         /** Reason of a failure because this router exits. */
         const val STOPPING = "stopping"
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/ServiceLoads.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/ServiceLoads.kt
@@ -3,14 +3,21 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * The usual loads of [targets], as far as they are known at [now], and what follows from them for all.
+ * The usual loads of [targets], as far as they are known at [now], and what follows from them for all. The [unused]
+ * targets of the service get no attempts, but lower its mean load.
  */
-internal class ServiceLoads(val targets: List<TargetState>, imbalanceFactor: Double, private val now: Timestamp) {
+internal class ServiceLoads(
+    val targets: List<TargetState>,
+    imbalanceFactor: Double,
+    private val now: Timestamp,
+    unused: List<TargetState> = emptyList(),
+) {
     private val typicalOthers = typicalOthersInFlight()
     private val usualLoads = targets.map { it.usualLoad(typicalOthers, now) }
 
     /** The mean of the usual loads. */
-    val mean: Double = usualLoads.sum() / targets.size.coerceAtLeast(1)
+    val mean: Double =
+        (usualLoads.sum() + unused.sumOf { it.load(now) }) / (targets.size + unused.size).coerceAtLeast(1)
 
     /** The load that no target should exceed. */
     val bound: Double = LoadBound.of(imbalanceFactor, mean)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetEntry.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetEntry.kt
@@ -1,5 +1,6 @@
 package org.cicadaarch.dispatch.target
 
+import kotlin.time.Duration
 import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.ZoneName
@@ -8,7 +9,8 @@
  * A target as it registers itself in the store.
  *
  * It runs [slots] requests at once. An entry with the same id but another [startedAtMillis] (Unix time) belongs to a
- * new process that has no state of earlier requests. [sequence] increases with each entry that a process writes.
+ * new process that has no state of earlier requests. [sequence] increases with each entry that a process writes. For
+ * [warmUpRemaining] from when the entry was written, the target is slow.
  */
 data class TargetEntry(
     val id: TargetId,
@@ -20,6 +22,7 @@
     val isDraining: Boolean,
     val startedAtMillis: Long,
     val sequence: Long,
+    val warmUpRemaining: Duration = Duration.ZERO,
 ) {
     /** Whether [other] is an entry of the same process at the same address. */
     fun isSameProcess(other: TargetEntry): Boolean =
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.dispatch.target
 
 import kotlin.math.ceil
+import org.cicadaarch.dispatch.evacuation.Evacuations
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.ZoneName
@@ -18,11 +19,18 @@
  * In a large fleet a router seldom has a recent report of a target; one without a report counts as a typical target,
  * not as an empty one. Other attempts go to the least loaded target; on a tie, one in the router's own [zone]
  * is preferred.
+ *
+ * Targets in zones of [evacuations] are never selected. They count in the mean load, which the load bound follows.
  */
-class TargetSelector(private val zone: ZoneName, private val imbalanceFactor: Double) {
+class TargetSelector(
+    private val zone: ZoneName,
+    private val imbalanceFactor: Double,
+    private val evacuations: Evacuations = Evacuations(),
+) {
     /** Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. */
     fun select(targets: Collection<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetSelection? {
-        val loads = ServiceLoads(eligible(targets, criteria, now), imbalanceFactor, now)
+        val (evacuated, usable) = targets.partition { evacuations.contains(it.entry.zone) }
+        val loads = ServiceLoads(eligible(usable, criteria, now), imbalanceFactor, now, unused = evacuated)
         if (criteria.promptKey == null) {
             return leastLoaded(loads.targets, criteria, now)
                 ?.let { TargetSelection(it, it.load(now), it.reportedAt, loads.bound) }
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchFixture.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/request/DispatchFixture.kt
@@ -75,16 +75,24 @@
     companion object {
         val SERVICE = ServiceName("service")
 
-        fun target(id: String, slots: Int = 4, isDraining: Boolean = false, startedAtMillis: Long = 1) = TargetEntry(
+        fun target(
+            id: String,
+            slots: Int = 4,
+            isDraining: Boolean = false,
+            startedAtMillis: Long = 1,
+            zone: String = "a",
+            warmUpRemaining: Duration = Duration.ZERO,
+        ) = TargetEntry(
             id = TargetId(id),
             service = SERVICE,
             host = "10.0.0.1",
             port = 80,
-            zone = ZoneName("a"),
+            zone = ZoneName(zone),
             slots = slots,
             isDraining = isDraining,
             startedAtMillis = startedAtMillis,
             sequence = 1,
+            warmUpRemaining = warmUpRemaining,
         )
 
         fun route(retryPolicy: RetryPolicy, isStream: Boolean = false, maximumAttempts: Int = 2) = Route(
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -68,7 +68,12 @@
             },
         )
     }
-    private val fleetReader = FleetReader(fleetFormat, exchanges::installRoutingTable, exchanges::updateTargets)
+    private val fleetReader = FleetReader(
+        format = fleetFormat,
+        onRoutingTable = exchanges::installRoutingTable,
+        onTargets = exchanges::updateTargets,
+        onEvacuatedZones = exchanges::updateEvacuatedZones,
+    )
     private val configurationWatcher = PrefixWatcher(
         prefix = fleetFormat.configurationPrefix,
         removalGracePeriod = Duration.ZERO,
@@ -226,6 +231,7 @@
             mapOf(
                 "configuration-version" to (exchanges.routingTable?.version ?: 0L).toDouble(),
                 "open-requests" to exchanges.openCount.toDouble(),
+                "evacuated-zones" to exchanges.state.evacuations.zones.size.toDouble(),
                 "quarantine-rules" to quarantine.state.rules.size.toDouble(),
                 "crash-records" to quarantine.state.recordCount.toDouble(),
                 "caller-connections" to clientListener.openConnections.toDouble(),
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -34,6 +34,7 @@
 import org.cicadaarch.forwarding.target.TargetKey
 import org.cicadaarch.logging.LogEvents
 import org.cicadaarch.model.Timestamp
+import org.cicadaarch.model.ZoneName
 import org.cicadaarch.store.MemoryBudget
 
 /**
@@ -94,6 +95,7 @@
     /** Uses [next] for requests that start from now on. */
     fun installRoutingTable(next: RoutingTable) {
         routingTable = next
+        submit(DispatchEvent.ServicesChanged(next.services))
         if (hasTargetList) releaseHeld()
     }
 
@@ -110,6 +112,9 @@
         if (routingTable != null) releaseHeld()
     }
 
+    /** Sends nothing more to targets in [zones], and to exactly these. */
+    fun updateEvacuatedZones(zones: Set<ZoneName>) = submit(DispatchEvent.ZonesEvacuated(zones))
+
     override val targetEntries: List<TargetEntry> get() = state.targets.values.map { it.entry }
 
     override fun takeReport(): ObservationReport {
@@ -207,6 +212,7 @@
             priority = account?.priority ?: route.priority,
             timeAllowed = minOf(metadata.timeout ?: route.timeout, route.timeout) - elapsed,
             promptKey = if (route.hasPromptAffinity) sharedPart?.id else null,
+            work = metadata.work,
         )
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FleetReader.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/FleetReader.kt
@@ -4,6 +4,7 @@
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.forwarding.format.FleetFormat
 import org.cicadaarch.logging.LogEvents
+import org.cicadaarch.model.ZoneName
 
 /**
  * Parses store values into routing tables and targets. A value that cannot be parsed is logged once and ignored. A
@@ -13,13 +14,16 @@
     private val format: FleetFormat,
     private val onRoutingTable: (RoutingTable) -> Unit,
     private val onTargets: (List<TargetEntry>) -> Unit,
+    private val onEvacuatedZones: (Set<ZoneName>) -> Unit,
 ) {
     private var installedVersion: Long? = null
     private var lastConfiguration: String? = null
     private var targets = emptyMap<String, DecodedTarget>()
+    private var evacuatedZones = emptySet<ZoneName>()
 
     /** Handles a change of the values under the configuration prefix. */
     fun configurationChanged(values: Map<String, String>) {
+        evacuationsChanged(format.evacuatedZones(values.keys))
         val value = values[format.configurationKey] ?: return
         if (value == lastConfiguration) return
         lastConfiguration = value
@@ -37,6 +41,14 @@
         onTargets(targets.values.mapNotNull { it.entry })
     }
 
+    private fun evacuationsChanged(zones: Set<ZoneName>) {
+        if (zones == evacuatedZones) return
+        (zones - evacuatedZones).forEach { zone -> LogEvents.info("zone-evacuated") { "zone" to zone } }
+        (evacuatedZones - zones).forEach { zone -> LogEvents.info("zone-evacuation-ended") { "zone" to zone } }
+        evacuatedZones = zones
+        onEvacuatedZones(zones)
+    }
+
     private fun installIfNewer(table: RoutingTable) {
         val previous = installedVersion
         if (previous != null && table.version <= previous) return
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/format/FleetFormat.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/format/FleetFormat.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import org.cicadaarch.dispatch.routing.RoutingTable
 import org.cicadaarch.dispatch.target.TargetEntry
+import org.cicadaarch.model.ZoneName
 
 /**
  * Where the store keeps the configuration and the targets, and how their values are parsed. Parsers return a
@@ -21,6 +22,9 @@
     /** The most characters that the entry of a target may have. */
     val maxTargetLength: Int
 
+    /** The zones to evacuate, by the [keys] under [configurationPrefix]. */
+    fun evacuatedZones(keys: Set<String>): Set<ZoneName>
+
     /** Parses a configuration. */
     fun parseRoutingTable(value: String): Either<String, RoutingTable>
 
