--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -9,7 +9,6 @@
 import org.cicadaarch.dispatch.quarantine.TrialSchedule
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.Queued
-import org.cicadaarch.dispatch.routing.RetryPolicy
 import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.SelectionCriteria
@@ -186,10 +185,7 @@
     }
 
     private fun responseReceived(open: OpenRequest, result: AttemptResult.Answered) {
-        val route = open.request.route
-        val mayRetry = !result.isDelivered && result.status >= MIN_SERVER_ERROR &&
-            route.retryPolicy != RetryPolicy.AT_MOST_ONCE && open.possibleRuns < route.maximumAttempts &&
-            hasTimeForRetry(open)
+        val mayRetry = RetryRules.mayRetryAfterResponse(open, result, now)
         val alternative = if (mayRetry) findAlternative(open, open.triedTargets) else null
         if (alternative != null && takeRetry(open.request.service)) {
             send(open, alternative)
@@ -201,8 +197,7 @@
 
     private fun attemptNotStarted(open: OpenRequest, result: AttemptResult.NotStarted) {
         val updated = open.copy(possibleRuns = open.possibleRuns - 1)
-        val mayRetry = open.attempts < MAX_ATTEMPTS && hasTimeForRetry(open) &&
-            (result.reachedTarget || RequestTimers.mayConnectAgain(open, now))
+        val mayRetry = RetryRules.mayRetryNotStarted(open, result, now)
         val alternative = if (mayRetry) findAlternative(updated, updated.triedTargets) else null
         when {
             alternative != null && (!result.reachedTarget || takeRetry(open.request.service)) ->
@@ -217,11 +212,7 @@
     }
 
     private fun attemptBroken(open: OpenRequest, reason: String, mayHaveCrashedTarget: Boolean = false) {
-        val route = open.request.route
-        val mayRetry =
-            !mayHaveCrashedTarget && route.retryPolicy != RetryPolicy.AT_MOST_ONCE &&
-                open.possibleRuns < route.maximumAttempts &&
-                hasTimeForRetry(open) && (!open.hasResponseStarted || route.retryPolicy == RetryPolicy.RESUMABLE)
+        val mayRetry = !mayHaveCrashedTarget && RetryRules.mayRetryBroken(open, now)
         val alternative = if (mayRetry) findAlternative(open, open.triedTargets) else null
         when {
             alternative != null && takeRetry(open.request.service) -> send(open, alternative)
@@ -229,8 +220,6 @@
         }
     }
 
-    private fun hasTimeForRetry(open: OpenRequest): Boolean = open.deadline - now > MIN_TIME_FOR_RETRY
-
     private fun findAlternative(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
         if (state.heldRequests.ruleFor(open.request.traits) != null) return null
         return selectTarget(open, excluded)?.takeIf { it.target.entry.id !in excluded }
@@ -381,13 +370,9 @@
     private companion object {
         const val MIN_SERVER_ERROR = 500
 
-        /** Limit on attempts for one request, including those that targets did not start. */
-        const val MAX_ATTEMPTS = 4
-
         /** Fraction of the retry ratio in use, as the fleet's request count differs slightly from this router's. */
         const val RETRY_RATIO_FRACTION = 0.9
 
-        val MIN_TIME_FOR_RETRY = 20.milliseconds
         val RETRY_AFTER = 150.milliseconds
 
         /** Reason of a refusal because all targets want no requests for some time. */
