--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
@@ -14,20 +14,37 @@
         val transition = DispatchTransition(state, settings, now)
         when (event) {
             is DispatchEvent.RequestReceived -> transition.requestReceived(event.request)
+
             is DispatchEvent.ResponseStarted -> transition.responseStarted(event.id, event.attempt)
+
             is DispatchEvent.DataReceived -> transition.dataReceived(event.id, event.attempt)
+
             is DispatchEvent.AttemptEnded -> transition.attemptEnded(event.id, event.attempt, event.result)
+
             is DispatchEvent.ClientDisconnected -> transition.clientDisconnected(event.id)
+
             is DispatchEvent.LoadReported -> transition.loadReported(event.target, event.load)
+
             is DispatchEvent.TargetNoticeReceived -> transition.targetNoticeReceived(event.entry, event.notice)
+
             DispatchEvent.ObservationsReported -> transition.observationsReported()
-            is DispatchEvent.FleetObserved -> transition.fleetObserved(event.summary)
-            is DispatchEvent.TargetsChanged -> transition.targetsChanged(event.entries)
-            is DispatchEvent.ServicesChanged -> transition.servicesChanged(event.services)
-            is DispatchEvent.ZonesEvacuated -> transition.zonesEvacuated(event.zones)
-            is DispatchEvent.QuarantineChanged -> transition.quarantineChanged(event.rules)
+
+            is DispatchEvent.FleetObserved -> transition.stateChanged(FleetChanges.observed(state, event.summary, now))
+
+            is DispatchEvent.TargetsChanged -> transition.stateChanged(FleetChanges.targets(state, event.entries))
+
+            is DispatchEvent.ServicesChanged -> transition.stateChanged(FleetChanges.services(state, event.services))
+
+            is DispatchEvent.ZonesEvacuated -> transition.stateChanged(
+                FleetChanges.evacuations(state, event.zones, now),
+            )
+
+            is DispatchEvent.QuarantineChanged -> transition.stateChanged(FleetChanges.quarantine(state, event.rules))
+
             is DispatchEvent.TrialGranted -> transition.trialGranted(event.rule)
+
             DispatchEvent.Stopping -> transition.stopping()
+
             DispatchEvent.Tick -> transition.tick()
         }
         return transition.step()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -4,12 +4,10 @@
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
-import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
 import org.cicadaarch.dispatch.quarantine.TrialSchedule
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.Queued
-import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.SelectionCriteria
 import org.cicadaarch.dispatch.target.TargetEntry
@@ -21,7 +19,6 @@
 import org.cicadaarch.model.Step
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
-import org.cicadaarch.model.ZoneName
 
 /**
  * The handling of one event: collects the changes of the state and the effects.
@@ -37,6 +34,12 @@
 
     fun step(): Step<DispatchState, DispatchEffect> = Step(state, effects)
 
+    /** Continues with [next], in which targets may have room that queued requests wait for. */
+    fun stateChanged(next: DispatchState) {
+        state = next
+        sendQueued()
+    }
+
     fun requestReceived(request: DispatchRequest) {
         val before = state.retryBudgets[request.service] ?: RetryBudget(settings.retrySlack)
         val budget = before.withRequest(settings.retryRatio * RETRY_RATIO_FRACTION, capacity = settings.retrySlack)
@@ -91,19 +94,6 @@
         state = state.copy(observations = state.observations.copy(unreported = LocalObservations()))
     }
 
-    fun fleetObserved(summary: ObservationSummary) {
-        val observedAt = now - summary.age
-        val targets = state.targets.builder()
-        state.targets.forEach { (id, target) ->
-            val heavy = summary.heavyLoads[id]?.dated(now)
-            val typical = summary.typicalLoads[target.entry.service]
-            targets[id] = target.withFleetLoad(heavy, typical, observedAt)
-        }
-        val observations = state.observations.withSummary(summary, observedAt)
-        state = state.copy(targets = targets.build(), observations = observations)
-        sendQueued()
-    }
-
     fun targetNoticeReceived(entry: TargetEntry, notice: TargetNotice) {
         val notices = state.targetNotices.with(entry, notice, now)
         if (notices == state.targetNotices) return
@@ -111,37 +101,6 @@
         effects += DispatchEffect.TargetNoticeTaken(entry, notice)
     }
 
-    fun targetsChanged(entries: List<TargetEntry>) {
-        val known = state.targets
-        var targets = known
-        (known.keys - entries.map { it.id }.toSet()).forEach { targets = targets.remove(it) }
-        entries.forEach { entry ->
-            val before = known[entry.id]
-            val after = if (before != null && before.entry.isSameProcess(entry)) before.copy(entry = entry) else null
-            targets = targets.put(entry.id, after ?: TargetState(entry, inFlight = attemptsAt(entry)))
-        }
-        state = state.copy(targets = targets)
-        sendQueued()
-    }
-
-    /** The number of attempts in flight at the process with [entry], which may have been known before. */
-    private fun attemptsAt(entry: TargetEntry): Int =
-        state.requests.values.count { (it.phase as? InFlight)?.entry?.isSameProcess(entry) == true }
-
-    fun servicesChanged(services: Map<ServiceName, ServiceLimits>) {
-        state = state.copy(services = services)
-    }
-
-    fun zonesEvacuated(zones: Set<ZoneName>) {
-        state = state.copy(evacuations = state.evacuations.with(zones, now))
-        sendQueued()
-    }
-
-    fun quarantineChanged(rules: List<QuarantineRule>) {
-        state = state.copy(heldRequests = state.heldRequests.withRules(rules))
-        sendQueued()
-    }
-
     fun trialGranted(rule: QuarantineRule) {
         state = state.copy(heldRequests = state.heldRequests.withTrial(rule))
     }
