--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetNotices.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetNotices.kt
@@ -34,14 +34,8 @@
     /** When the first of [entries] ends its back-off; null if one wants requests at [now] or all are draining. */
     fun backOffEnd(entries: Collection<TargetEntry>, now: Timestamp): Timestamp? {
         val staying = entries.filter { !it.isDraining && of(it)?.isDraining != true }
-        return if (staying.any {
-                wantsRequests(it, now)
-            }
-        ) {
-            null
-        } else {
-            staying.mapNotNull { of(it)?.backOffUntil }.minOrNull()
-        }
+        if (staying.any { wantsRequests(it, now) }) return null
+        return staying.mapNotNull { of(it)?.backOffUntil }.minOrNull()
     }
 
     /** When the next back-off ends after [now], or null if none is in force. */
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/StoreProbe.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/fleet/StoreProbe.kt
@@ -26,12 +26,8 @@
     /** Starts to probe the store for the watches of [prefixWatchers]. */
     fun start(prefixWatchers: Collection<PrefixWatcher>) {
         scheduler.schedule(nextInterval()) {
-            if (prefixWatchers.none {
-                    it.state.phase is WatchState.Phase.Watching
-                }
-            ) {
-                return@schedule start(prefixWatchers)
-            }
+            val isWatching = prefixWatchers.any { it.state.phase is WatchState.Phase.Watching }
+            if (!isWatching) return@schedule start(prefixWatchers)
             ask { isServed ->
                 if (!isServed) prefixWatchers.forEach { it.storeUnresponsive("no answer to a probe within $timeout") }
                 start(prefixWatchers)
