Bound the bytes that wait for slow clients

Bytes of a response that its client had not taken were counted only for complete responses, in the memory for incomplete ones, so that clients which read nothing made large responses of others fail; streams were not counted at all, and a client that pipelines had its next requests run while it read nothing. All unsent bytes now count in a sum of their own, an eighth of the process's memory. Over it, the responses unread for longest are aborted: BacklogLimit decides, BacklogTracker keeps the state. Pipelined requests wait until the client has read.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -9,6 +9,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.dispatch.request.DispatchSettings
+import org.cicadaarch.forwarding.backlog.BacklogLimit
+import org.cicadaarch.forwarding.backlog.BacklogTracker
 import org.cicadaarch.forwarding.client.ClientListener
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.fleet.FleetReader
@@ -57,7 +59,9 @@
     )
     private val exchanges =
         ExchangeManager(eventLoop, settings.dispatch, connectionPool, headerFormat, metrics, quarantine)
-    private val clientListener = ClientListener(settings.listenAddress, eventLoops, exchanges)
+    private val backlogs =
+        BacklogTracker(BacklogLimit(settings.maxUnsentBytes), scheduler, onAborted = metrics::recordUnreadResponse)
+    private val clientListener = ClientListener(settings.listenAddress, eventLoops, exchanges, backlogs)
     private val statusEndpoint = HttpEndpoint(settings.readinessAddress, eventLoops) { request, respond ->
         respond(
             when {
@@ -223,6 +227,17 @@
         ) {
             prefixWatchers().mapValues { it.value.state.failures.toDouble() }
         }
+        metrics.registerGauge(
+            name = "cicadaarch_buffered_bytes",
+            help = "Bytes that are buffered, by what they are part of.",
+            label = "part",
+        ) {
+            mapOf(
+                "unsent-responses" to backlogs.totalBytes.toDouble(),
+                "incomplete-responses" to exchanges.responseMemory.usedBytes.toDouble(),
+                "requests" to exchanges.requestMemory.usedBytes.toDouble(),
+            )
+        }
         metrics.registerGauge(
             name = "cicadaarch_router",
             help = "The configuration's version and what is open.",
@@ -234,6 +249,7 @@
                 "evacuated-zones" to exchanges.state.evacuations.zones.size.toDouble(),
                 "quarantine-rules" to quarantine.state.rules.size.toDouble(),
                 "crash-records" to quarantine.state.recordCount.toDouble(),
+                "unsent-responses" to backlogs.responseCount.toDouble(),
                 "caller-connections" to clientListener.openConnections.toDouble(),
             )
         }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingSettings.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.model.RouterAddress
+import org.cicadaarch.store.MemoryBudget
 
 /**
  * Settings of a router that forwards requests by routes. For a listening address with port 0, the system picks a free
@@ -17,6 +18,8 @@
  *
  * Targets write their entries every [targetHeartbeatInterval] and may be used for [drainTimeout] after they leave.
  * Requests that arrive before the first configuration are held until [startupHoldTime] after the start.
+ *
+ * Responses that wait for their clients take up at most [maxUnsentBytes] together.
  */
 data class ForwardingSettings(
     val name: String,
@@ -31,4 +34,9 @@
     val configurationApplyTime: Duration,
     val dispatch: DispatchSettings,
     val startupHoldTime: Duration = 500.milliseconds,
-)
+    val maxUnsentBytes: Long = MemoryBudget.bytesOfProcess(UNSENT_MEMORY_SHARE),
+) {
+    private companion object {
+        const val UNSENT_MEMORY_SHARE = 0.125
+    }
+}
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.DuplexChannel
+import io.netty.channel.socket.SocketChannelConfig
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -28,6 +29,7 @@
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 import java.util.concurrent.TimeUnit
+import org.cicadaarch.forwarding.backlog.BacklogOwner
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.exchange.ForwardingExchange
 import org.cicadaarch.forwarding.exchange.RetryAfterHeader
@@ -35,24 +37,29 @@
 
 /**
  * Handles one client connection: reads requests one at a time, passes each to a [ForwardingExchange] and writes the
- * response. Pipelined requests wait until the one before them has its response.
+ * response. Pipelined requests wait until the one before them has its response, and until the client has read most of
+ * that.
  */
 internal class ClientConnectionHandler(private val listener: ClientListener) :
     ChannelInboundHandlerAdapter(),
-    ClientResponseWriter {
+    ClientResponseWriter,
+    BacklogOwner {
     private lateinit var context: ChannelHandlerContext
     private lateinit var timeouts: ClientTimeouts
     private val pipelined = PipelinedMessages(listener.exchanges.requestMemory)
     private var incoming: IncomingRequest? = null
     private var exchange: ForwardingExchange? = null
+    private var closeReason = "caller-left"
     private var isKeepAlive = true
     private var isClosing = false
     private var isLingering = false
 
     override val isWritable: Boolean get() = context.channel().isWritable
 
-    /** Bytes of responses that the client has not taken yet. */
-    val unsentBytes: Long
+    override var requestId: String? = null
+        private set
+
+    override val unsentBytes: Long
         get() = context.channel().unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() - it.currentProgress() }
             ?: 0
 
@@ -78,7 +85,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message !is HttpObject || isClosing) {
             ReferenceCountUtil.release(message)
-        } else if (exchange != null) {
+        } else if (exchange != null || !isWritable || !pipelined.isEmpty) {
             enqueue(message)
         } else {
             process(message)
@@ -86,15 +93,17 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        exchange?.clientWritabilityChanged(context.channel().isWritable)
+        listener.backlogs.update(this)
+        exchange?.clientWritabilityChanged(isWritable)
+        if (isWritable) processPipelined()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pipelined.clear()
         incoming?.body?.release()
         incoming = null
-        exchange?.let { listener.exchanges.clientDisconnected(it) }
-        exchange = null
+        listener.backlogs.remove(this)
+        endExchange()
         listener.connectionClosed(this)
     }
 
@@ -104,12 +113,12 @@
         context.close()
     }
 
-    override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf, onSent: () -> Unit) {
+    override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         headers.setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         val response =
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE)
         setConnectionHeader(response)
-        val written = context.writeAndFlush(response).addListener { onSent() }
+        val written = write(response)
         if (!isKeepAlive) closeAfter(written)
         finishRequest()
     }
@@ -122,11 +131,11 @@
     }
 
     override fun writeContent(content: ByteBuf) {
-        context.writeAndFlush(DefaultHttpContent(content))
+        write(DefaultHttpContent(content))
     }
 
     override fun endResponse() {
-        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        val written = write(LastHttpContent.EMPTY_LAST_CONTENT)
         if (!isKeepAlive) closeAfter(written)
         finishRequest()
     }
@@ -137,6 +146,26 @@
         context.close()
     }
 
+    override fun abortUnread() {
+        closeReason = "response-unread"
+        isClosing = true
+        // Discards what the kernel has buffered for the client, too.
+        (context.channel().config() as? SocketChannelConfig)?.soLinger = 0
+        endExchange()
+        context.close()
+    }
+
+    private fun endExchange() {
+        val ended = exchange ?: return
+        exchange = null
+        listener.exchanges.clientDisconnected(ended, closeReason)
+    }
+
+    private fun write(part: HttpObject): ChannelFuture {
+        requestId = exchange?.requestId
+        return context.writeAndFlush(part).also { listener.backlogs.update(this) }
+    }
+
     private fun setConnectionHeader(response: HttpResponse) {
         if (listener.isDraining) isKeepAlive = false
         if (!isKeepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -149,7 +178,12 @@
             return
         }
         timeouts.requestFinished()
-        while (!pipelined.isEmpty && exchange == null && !isClosing) process(pipelined.removeFirst())
+        processPipelined()
+    }
+
+    private fun processPipelined() {
+        while (!pipelined.isEmpty && exchange == null && isWritable && !isClosing) process(pipelined.removeFirst())
+        context.channel().config().isAutoRead = exchange != null || isWritable || isClosing
     }
 
     private fun enqueue(message: HttpObject) {
@@ -169,6 +203,7 @@
         incoming?.body?.release()
         incoming = null
         isKeepAlive = false
+        isClosing = true
         isLingering = true
         respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientListener.kt
@@ -5,9 +5,11 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import java.net.InetSocketAddress
 import org.cicadaarch.dispatch.routing.ClientLimits
+import org.cicadaarch.forwarding.backlog.BacklogTracker
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.http.BoundAddress
 import org.cicadaarch.model.RouterAddress
@@ -21,6 +23,7 @@
     private val address: RouterAddress,
     private val eventLoops: EventLoopGroup,
     val exchanges: ExchangeManager,
+    val backlogs: BacklogTracker,
 ) {
     private val handlers = LinkedHashSet<ClientConnectionHandler>()
     private var serverChannel: Channel? = null
@@ -47,6 +50,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNSENT_BOUNDS)
             .childHandler(ConnectionInitializer())
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
@@ -94,5 +98,8 @@
 
     private companion object {
         const val BACKLOG = 1024
+
+        /** Unsent bytes of a connection below which reading from its target goes on, and above which it pauses. */
+        val UNSENT_BOUNDS = WriteBufferWaterMark(32 * 1024, 64 * 1024)
     }
 }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientResponseWriter.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientResponseWriter.kt
@@ -11,11 +11,8 @@
     /** Whether the client keeps up with the response, so that its outbound buffer has space. */
     val isWritable: Boolean
 
-    /**
-     * Writes a complete response and ends the request. Takes ownership of [body]. Calls [onSent] once the response is
-     * written in full or will never be.
-     */
-    fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf, onSent: () -> Unit = {})
+    /** Writes a complete response and ends the request. Takes ownership of [body]. */
+    fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf)
 
     /** Starts a chunked response. */
     fun startResponse(status: HttpResponseStatus, headers: HttpHeaders)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -50,7 +50,6 @@
     private val quarantine: QuarantineManager,
 ) : ObservedDispatch {
     private var reducer = DispatchReducer(settings)
-    private val responseMemory = MemoryBudget.ofProcess(RESPONSE_MEMORY_SHARE)
     private val openExchanges = HashMap<ExchangeId, ForwardingExchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isProcessing = false
@@ -77,6 +76,9 @@
     /** The client limits in force. */
     val limits: ClientLimits get() = routingTable?.limits ?: DEFAULT_LIMITS
 
+    /** The memory for responses that are not passed on yet. */
+    val responseMemory = MemoryBudget.ofProcess(RESPONSE_MEMORY_SHARE)
+
     /** The memory for what clients send. */
     val requestMemory = MemoryBudget.ofProcess(REQUEST_MEMORY_SHARE, maxShare = 0.5)
 
@@ -144,9 +146,9 @@
         if (mayHold) heldExchanges += exchange else start(exchange)
     }
 
-    /** Ends [exchange] after the client closed its connection. */
-    fun clientDisconnected(exchange: ForwardingExchange) {
-        if (heldExchanges.remove(exchange)) exchange.request.release() else exchange.clientDisconnected()
+    /** Ends [exchange] after the client connection was closed for [reason]. */
+    fun clientDisconnected(exchange: ForwardingExchange, reason: String) {
+        if (heldExchanges.remove(exchange)) exchange.request.release() else exchange.clientDisconnected(reason)
     }
 
     private fun releaseHeld() {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -74,7 +74,8 @@
         val response = checkNotNull(bufferedResponse) { "There is no buffered response to deliver." }
         bufferedResponse = null
         context.ended(response.status.code(), reason = null)
-        client.respond(response.status, response.headers, response.body, onSent = response::freeMemory)
+        response.freeMemory()
+        client.respond(response.status, response.headers, response.body)
     }
 
     /** Ends the request with an error status, or closes the connection if the response has already started. */
@@ -109,11 +110,14 @@
         client.respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
-    /** Ends the request after the client closed its connection. */
-    fun clientDisconnected() {
+    /** The id of the request, or null if it was not passed to the dispatch reducer. */
+    val requestId: String? get() = if (::context.isInitialized) context.requestId else null
+
+    /** Ends the request after the client connection was closed for [reason]. */
+    fun clientDisconnected(reason: String) {
         releaseBufferedResponse()
         context.submit(DispatchEvent.ClientDisconnected(context.dispatchRequest.id))
-        context.ended(status = null, reason = "caller-left")
+        context.ended(status = null, reason)
     }
 
     /** Pauses or resumes reading from the target, depending on whether the client keeps up. */
@@ -129,7 +133,7 @@
         bufferedResponse = null
     }
 
-    /** A complete response, whose [heldBytes] count until it has been sent. */
+    /** A complete response, whose [heldBytes] count until it is passed on. */
     private inner class BufferedResponse(
         val status: HttpResponseStatus,
         val headers: HttpHeaders,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
@@ -48,6 +48,14 @@
         .classicUpperBounds(0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 15.0)
         .register(registry)
 
+    private val unreadResponses = Counter.builder()
+        .name("cicadaarch_unread_responses_aborted_total")
+        .help("Responses aborted because the unsent bytes of all responses were over their bound.")
+        .register(registry)
+
+    /** Counts a response that was aborted because its client had not read it. */
+    fun recordUnreadResponse() = unreadResponses.inc()
+
     /** Counts a request for [service] that ended with [status], or null if the client's connection was closed. */
     fun recordRequest(service: ServiceName?, status: Int?, reason: String?) =
         requests.labelValues(service?.value ?: NONE, status?.toString() ?: NONE, reason ?: NONE).inc()
--- a/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/MemoryBudget.kt
+++ b/cicadaarch-store/src/main/kotlin/org/cicadaarch/store/MemoryBudget.kt
@@ -11,7 +11,10 @@
  * So a few senders without end leave memory for all others. May be used by several threads.
  */
 class MemoryBudget(private val limitBytes: Long, private val maxShare: Double = DEFAULT_MAX_SHARE) {
-    private var usedBytes = 0L
+    /** Bytes that all holders take up now. */
+    @get:Synchronized
+    var usedBytes = 0L
+        private set
 
     /**
      * Changes the memory of one holder from [before] to [after] bytes. Returns false and changes nothing if [after] is
@@ -38,7 +41,10 @@
 
         /** A budget of a [share] of what this process may use, from 0 to 1. */
         fun ofProcess(share: Double, maxShare: Double = DEFAULT_MAX_SHARE) =
-            MemoryBudget((processBytes * share).toLong(), maxShare)
+            MemoryBudget(bytesOfProcess(share), maxShare)
+
+        /** A [share] of what this process may use, from 0 to 1, in bytes. */
+        fun bytesOfProcess(share: Double): Long = (processBytes * share).toLong()
 
         /** The memory of this VM, or null where the system does not say. */
         private fun physicalBytes(): Long? = try {
