Limit what targets get while they warm up

Targets that had just started got their whole load at once, from each router on its own account. A service with a WarmUpLimit now uses a warming target only when no other one has room, and each router then sends one request in short windows whose place in time is random for router and target. The period of the windows follows from the limit and from 160 routers by the tail of the Poisson distribution, so that the routers need to agree on nothing. After the warm-up the share of prompts grows to 1 over the duration of the limit, by a hash that is the same on all routers. Services without a limit are unchanged.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchEffect.kt
@@ -14,7 +14,7 @@
      * Send the request to [target], which has [timeLeft] to respond and may copy the cache of the prompt from
      * [cacheSource]. A new connection must be established within [connectTimeout]. [estimatedLoad] is the load of
      * [target] at its selection, by a report of age [loadReportAge], null if there is none; [loadBound] is the load
-     * that it should not exceed.
+     * that it should not exceed. A target that is still warming up does so for [warmUpRemaining].
      */
     data class Send(
         val id: ExchangeId,
@@ -26,6 +26,7 @@
         val loadBound: Double,
         val loadReportAge: Duration? = null,
         val cacheSource: TargetEntry? = null,
+        val warmUpRemaining: Duration? = null,
     ) : DispatchEffect()
 
     /** Cancel the attempt at its target. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
@@ -31,7 +31,9 @@
 
             is DispatchEvent.FleetObserved -> transition.stateChanged(FleetChanges.observed(state, event.summary, now))
 
-            is DispatchEvent.TargetsChanged -> transition.stateChanged(FleetChanges.targets(state, event.entries))
+            is DispatchEvent.TargetsChanged -> transition.stateChanged(
+                FleetChanges.targets(state, event.entries, now),
+            )
 
             is DispatchEvent.ServicesChanged -> transition.stateChanged(FleetChanges.services(state, event.services))
 
@@ -55,6 +57,7 @@
         val nextTimeout = state.requests.values.minOfOrNull { RequestTimers.nextTimeout(it) } ?: return null
         val hasQueued = state.requests.values.any { it.phase is OpenRequest.Phase.Queued }
         val backOffEnd = if (hasQueued) state.targetNotices.nextBackOffEnd(now) else null
-        return listOfNotNull(nextTimeout, backOffEnd).min()
+        val warmUpChance = if (hasQueued) WarmUpChanges.nextChance(state, settings, now) else null
+        return listOfNotNull(nextTimeout, backOffEnd, warmUpChance).min()
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -11,7 +11,8 @@
 import org.cicadaarch.model.TargetId
 
 /**
- * The state of the dispatch of one router.
+ * The state of the dispatch of one router. [routerSeed] is a random number of its own, by which it acts at other times
+ * than the other routers.
  */
 data class DispatchState(
     val targets: PersistentMap<TargetId, TargetState> = persistentMapOf(),
@@ -23,4 +24,5 @@
     val observations: RequestObservations = RequestObservations(),
     val services: Map<ServiceName, ServiceLimits> = emptyMap(),
     val evacuations: Evacuations = Evacuations(),
+    val routerSeed: Long = 0,
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -222,7 +222,7 @@
             promptDemand = state.observations.demand(request, now),
         )
         val willing = targetsOf(request.service).filter { state.targetNotices.wantsRequests(it.entry, now) }
-        return selector.select(willing, criteria, now)
+        return selector.select(willing, criteria, now, WarmUpChanges.rules(state, settings, request.service, now))
     }
 
     private fun send(open: OpenRequest, selection: TargetSelection) {
@@ -237,7 +237,7 @@
                 triedTargets = open.triedTargets + id,
             ),
         )
-        updateTarget(id) { it.withAttemptSent(now) }
+        updateTarget(id) { WarmUpChanges.sent(it.withAttemptSent(now), now) }
         state = state.copy(heldRequests = state.heldRequests.withSent(open.request.traits))
         state = state.copy(observations = state.observations.withSent(open.request))
         effects += DispatchEffect.Send(
@@ -250,6 +250,7 @@
             loadBound = selection.loadBound,
             loadReportAge = selection.loadKnownAt?.let { now - it },
             cacheSource = open.request.promptKey?.let { recordPromptSent(open.request.service, it, id) },
+            warmUpRemaining = selection.warmUpRemaining,
         )
     }
 
@@ -259,7 +260,8 @@
         state = state.copy(promptLocations = state.promptLocations.withSent(promptKey, selected))
         val sources = targetsOf(service)
             .filter { state.evacuations.allowCacheCopies(it.entry.zone, settings.evacuationTime, now) }
-        return selector.cacheSource(sources, promptKey, selected, lastTarget, now)?.entry
+        val rules = WarmUpChanges.rules(state, settings, service, now)
+        return selector.cacheSource(sources, promptKey, selected, lastTarget, now, rules)?.entry
     }
 
     private fun targetsOf(service: ServiceName): List<TargetState> =
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/FleetChanges.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/FleetChanges.kt
@@ -28,14 +28,15 @@
     }
 
     /** The state with the registered targets [entries]. What is known of a process is kept until it ends. */
-    fun targets(state: DispatchState, entries: List<TargetEntry>): DispatchState {
+    fun targets(state: DispatchState, entries: List<TargetEntry>, now: Timestamp): DispatchState {
         val known = state.targets
         var targets = known
         (known.keys - entries.map { it.id }.toSet()).forEach { targets = targets.remove(it) }
         entries.forEach { entry ->
             val before = known[entry.id]
             val after = if (before != null && before.entry.isSameProcess(entry)) before.copy(entry = entry) else null
-            targets = targets.put(entry.id, after ?: TargetState(entry, inFlight = attemptsAt(state, entry)))
+            val target = after ?: TargetState(entry, inFlight = attemptsAt(state, entry))
+            targets = targets.put(entry.id, WarmUpChanges.seen(target, before, now))
         }
         return state.copy(targets = targets)
     }
@@ -46,7 +47,8 @@
 
     /** The state in which exactly [zones] are evacuated. */
     fun evacuations(state: DispatchState, zones: Set<ZoneName>, now: Timestamp): DispatchState =
-        state.copy(evacuations = state.evacuations.with(zones, now))
+        WarmUpChanges.evacuationsEnded(state, state.evacuations.zones - zones, now)
+            .copy(evacuations = state.evacuations.with(zones, now))
 
     /** The state in which requests are held back by [rules]. */
     fun quarantine(state: DispatchState, rules: List<QuarantineRule>): DispatchState =
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -2,6 +2,7 @@
 
 import kotlin.math.ceil
 import org.cicadaarch.dispatch.evacuation.Evacuations
+import org.cicadaarch.dispatch.warmup.WarmUpRules
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.model.ZoneName
@@ -21,30 +22,79 @@
  * is preferred.
  *
  * Targets in zones of [evacuations] are never selected. They count in the mean load, which the load bound follows.
+ * Targets that warm up count alike, and are selected only if no other one has room. After that, a target serves a
+ * growing share of the prompts, unless the others are over the bound.
  */
 class TargetSelector(
     private val zone: ZoneName,
     private val imbalanceFactor: Double,
     private val evacuations: Evacuations = Evacuations(),
 ) {
-    /** Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. */
-    fun select(targets: Collection<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetSelection? {
+    /**
+     * Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. [warmUpRules] are
+     * null if the service has none.
+     */
+    fun select(
+        targets: Collection<TargetState>,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+        warmUpRules: WarmUpRules? = null,
+    ): TargetSelection? {
         val (evacuated, usable) = targets.partition { evacuations.contains(it.entry.zone) }
-        val loads = ServiceLoads(eligible(usable, criteria, now), imbalanceFactor, now, unused = evacuated)
+        val (warming, others) = usable.partition { warmUpRules?.isWarmingUp(it) == true }
+        val unused = evacuated + warming
+        if (warmUpRules == null || warming.isEmpty()) {
+            return selectAmong(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
+        }
+        return selectAmong(healthy(others, criteria, now), criteria, now, unused, warmUpRules)
+            ?: selectWarming(healthy(warming, criteria, now), criteria, now, warmUpRules)
+            ?: selectAmong(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
+    }
+
+    private fun selectAmong(
+        candidates: List<TargetState>,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+        unused: List<TargetState>,
+        warmUpRules: WarmUpRules?,
+    ): TargetSelection? {
+        val loads = ServiceLoads(candidates, imbalanceFactor, now, unused)
+        val key = criteria.promptKey ?: criteria.tieBreaker.toString()
+        val mayServe = warmUpRules?.servesAmong(candidates, key) ?: { true }
         if (criteria.promptKey == null) {
-            return leastLoaded(loads.targets, criteria, now)
+            return leastLoaded(loads.targets, criteria, now, mayServe)
                 ?.let { TargetSelection(it, it.load(now), it.reportedAt, loads.bound) }
         }
-        return byPrompt(loads, criteria.promptKey, criteria)
+        return byPrompt(loads, criteria.promptKey, criteria, mayServe)
             ?.let {
                 val target = loads.targets[it]
                 TargetSelection(target, loads.usual(it), target.usualLoadAt, loads.bound)
             }
     }
 
+    /** Selects one of the targets in [warming] that may get a request of this router and has a free slot. */
+    private fun selectWarming(
+        warming: List<TargetState>,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+        warmUpRules: WarmUpRules,
+    ): TargetSelection? {
+        val usable = warming.filter { it.load(now) + 1 <= it.entry.slots && warmUpRules.mayUseWarming(it) }
+        val selected = leastLoaded(usable, criteria, now) ?: return null
+        val bound = ServiceLoads(warming, imbalanceFactor, now).bound
+        return TargetSelection(
+            selected,
+            selected.load(now),
+            selected.reportedAt,
+            bound,
+            warmUpRules.remaining(selected),
+        )
+    }
+
     /**
      * The target from which [selected] may copy the cache of [promptKey]: [lastTarget], to which the prompt was last
-     * sent, else the first other target in the prompt's rendezvous order, which served it until [selected] joined.
+     * sent, else the first other target in the prompt's rendezvous order that may serve it, which served it until
+     * [selected] joined.
      */
     fun cacheSource(
         targets: Collection<TargetState>,
@@ -52,50 +102,71 @@
         selected: TargetId,
         lastTarget: TargetId?,
         now: Timestamp,
+        warmUpRules: WarmUpRules? = null,
     ): TargetState? {
         val others = targets.filter { it.entry.id != selected && !it.isEjected(now) && !it.isUnresponsive(now) }
         return others.firstOrNull { it.entry.id == lastTarget }
-            ?: RendezvousHash.first(key = promptKey, members = others, name = { it.entry.id.value })
+            ?: RendezvousHash.first(
+                key = promptKey,
+                members = others.filter(warmUpRules?.servesAmong(others, promptKey) ?: { true }),
+                name = { it.entry.id.value },
+            )
     }
 
     /**
      * The healthy ones of the targets that are neither draining nor excluded. If none is healthy, all that are not
      * ejected; if all are ejected, all of them.
      */
-    private fun eligible(
-        targets: Collection<TargetState>,
-        criteria: SelectionCriteria,
-        now: Timestamp,
-    ): List<TargetState> {
-        val allowed = targets.filter { !it.entry.isDraining && it.entry.id !in criteria.excluded }
+    private fun eligible(targets: List<TargetState>, criteria: SelectionCriteria, now: Timestamp): List<TargetState> {
+        val allowed = allowed(targets, criteria)
+        return healthy(targets, criteria, now).ifEmpty { allowed.filter { !it.isEjected(now) } }.ifEmpty { allowed }
+    }
+
+    /** The healthy ones of the targets that are neither draining nor excluded. */
+    private fun healthy(targets: List<TargetState>, criteria: SelectionCriteria, now: Timestamp): List<TargetState> {
+        val allowed = allowed(targets, criteria)
         val meanErrorRate = allowed.sumOf { it.errorRate } / allowed.size.coerceAtLeast(1)
-        val healthy = allowed.filter {
-            !it.isEjected(now) && !it.isUnresponsive(now) && !isOutlier(it, meanErrorRate)
-        }
-        return healthy.ifEmpty { allowed.filter { !it.isEjected(now) } }.ifEmpty { allowed }
+        return allowed.filter { !it.isEjected(now) && !it.isUnresponsive(now) && !isOutlier(it, meanErrorRate) }
     }
 
+    private fun allowed(targets: List<TargetState>, criteria: SelectionCriteria): List<TargetState> =
+        targets.filter { !it.entry.isDraining && it.entry.id !in criteria.excluded }
+
     private fun isOutlier(target: TargetState, meanErrorRate: Double): Boolean =
         target.errorRate > OUTLIER_ERROR_RATE && target.errorRate > 2 * meanErrorRate
 
     /** The index of the selected target. */
-    private fun byPrompt(loads: ServiceLoads, promptKey: String, criteria: SelectionCriteria): Int? {
+    private fun byPrompt(
+        loads: ServiceLoads,
+        promptKey: String,
+        criteria: SelectionCriteria,
+        mayServe: (TargetState) -> Boolean,
+    ): Int? {
         val free = loads.free()
         val usableBound = loads.bound * boundShare(criteria.tieBreaker)
         val belowBound = free.filter { loads.usual(it) + 1 <= usableBound }
         val nameOf = { index: Int -> loads.targets[index].entry.id.value }
-        val homes = homes(loads, promptKey, criteria.promptDemand, nameOf).filter { it in belowBound }
+        val serving = belowBound.filter { mayServe(loads.targets[it]) }
+        val homes = homes(loads, promptKey, criteria.promptDemand, nameOf, mayServe).filter { it in serving }
         return homes.getOrNull(criteria.tieBreaker.mod(homes.size.coerceAtLeast(1)))
+            ?: RendezvousHash.first(key = promptKey, members = serving, name = nameOf)
             ?: RendezvousHash.first(key = promptKey, members = belowBound, name = nameOf)
             ?: free.minByOrNull { loads.usual(it) }
     }
 
     /** The targets over which [promptKey] is spread: the first ones in its order; empty if one has room for it. */
-    private fun homes(loads: ServiceLoads, promptKey: String, demand: Double, nameOf: (Int) -> String): List<Int> {
+    private fun homes(
+        loads: ServiceLoads,
+        promptKey: String,
+        demand: Double,
+        nameOf: (Int) -> String,
+        mayServe: (TargetState) -> Boolean,
+    ): List<Int> {
         val room = loads.bound * (MIN_BOUND_SHARE + MAX_BOUND_SHARE) / 2 - loads.mean
         val count = ceil(demand / (room * PROMPT_SHARE).coerceAtLeast(1.0)).toInt()
         if (count <= 1) return emptyList()
-        return RendezvousHash.rank(key = promptKey, members = loads.targets.indices.toList(), name = nameOf).take(count)
+        val serving = loads.targets.indices.filter { mayServe(loads.targets[it]) }
+        return RendezvousHash.rank(key = promptKey, members = serving, name = nameOf).take(count)
     }
 
     /**
@@ -107,6 +178,18 @@
         return MIN_BOUND_SHARE + (MAX_BOUND_SHARE - MIN_BOUND_SHARE) * fraction
     }
 
+    /** The least loaded of the targets that may serve the attempt, if one of them has a free slot, else of all. */
+    private fun leastLoaded(
+        targets: List<TargetState>,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+        mayServe: (TargetState) -> Boolean,
+    ): TargetState? {
+        val serving = targets.filter(mayServe)
+        val free = if (serving.size < targets.size) serving.filter { it.load(now) + 1 <= it.entry.slots } else serving
+        return leastLoaded(free, criteria, now) ?: leastLoaded(targets, criteria, now)
+    }
+
     private fun leastLoaded(targets: List<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetState? =
         targets
             .filter { it.load(now) + 1 <= it.entry.slots * QUEUE_FACTOR }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetState.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.SharedObservations
+import org.cicadaarch.dispatch.warmup.WarmUp
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -13,7 +14,7 @@
  * number which also takes in what other routers report, as of [usualLoadAt]. While attempts are in flight,
  * [silentSince] is when the target last sent data. After a failure without a usable response the target is ejected
  * until [ejectedUntil]; [failures] counts these failures since the last success. [errorRate] is an exponential moving
- * average.
+ * average. [warmUp] is null if the target never warmed up as far as this router knows.
  */
 data class TargetState(
     val entry: TargetEntry,
@@ -26,6 +27,7 @@
     val ejectedUntil: Timestamp? = null,
     val failures: Int = 0,
     val errorRate: Double = 0.0,
+    val warmUp: WarmUp? = null,
 ) {
     /** The estimated number of requests at the target; those of other routers are weighted by the report's age. */
     fun load(now: Timestamp): Double = inFlight + estimatedOthersInFlight(now)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.cicadaarch.dispatch.request.DispatchSettings
+import org.cicadaarch.dispatch.warmup.WarmingTargets
 import org.cicadaarch.forwarding.client.ClientListener
 import org.cicadaarch.forwarding.exchange.ExchangeManager
 import org.cicadaarch.forwarding.fleet.FleetReader
@@ -202,6 +203,14 @@
             val now = NanoTimeClock.now()
             exchanges.state.targets.values.associate { it.entry.id.value to it.load(now) }
         }
+        metrics.registerGauge(
+            name = "cicadaarch_targets_warming_up",
+            help = "Targets that are warming up, of services that limit what such targets get.",
+            label = "service",
+        ) {
+            WarmingTargets.countByService(exchanges.state, NanoTimeClock.now())
+                .entries.associate { (service, count) -> service.value to count.toDouble() }
+        }
         metrics.registerGauge(
             name = "cicadaarch_retry_budget",
             help = "Attempts after the first that are still allowed.",
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -67,7 +68,7 @@
     }
 
     /** The state of the dispatch reducer. */
-    var state = DispatchState()
+    var state = DispatchState(routerSeed = Random.nextLong())
         private set
 
     /** The configuration in force, or null before the first one was received. */
@@ -267,7 +268,7 @@
 
     private fun execute(effect: DispatchEffect) {
         when (effect) {
-            is DispatchEffect.Send -> openExchanges[effect.id]?.send(effect)
+            is DispatchEffect.Send -> send(effect)
 
             is DispatchEffect.Cancel -> openExchanges[effect.id]?.cancel(effect.attempt)
 
@@ -292,6 +293,23 @@
         }
     }
 
+    private fun send(effect: DispatchEffect.Send) {
+        val exchange = openExchanges[effect.id] ?: return
+        if (effect.warmUpRemaining != null) {
+            LogEvents.info("warming-target-used") {
+                "request" to exchange.context.requestId
+                "target" to effect.target.id
+                "warmUpMillis" to effect.warmUpRemaining?.inWholeMilliseconds
+                "sequence" to effect.target.sequence
+                "load" to effect.estimatedLoad
+                "reportAge" to effect.loadReportAge?.inWholeMilliseconds
+                "slots" to effect.target.slots
+            }
+            metrics.recordWarmUpRequest(effect.target.service)
+        }
+        exchange.send(effect)
+    }
+
     private fun holdBack(effect: DispatchEffect.RequestHeldBack) {
         LogEvents.info("request-held-back") {
             "request" to openExchanges[effect.id]?.context?.requestId
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/observation/ForwardingMetrics.kt
@@ -48,6 +48,12 @@
         .classicUpperBounds(0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 15.0)
         .register(registry)
 
+    private val warmUpRequests = Counter.builder()
+        .name("cicadaarch_warm_up_requests_total")
+        .help("Requests sent to targets that were warming up, as no other one had room, by service.")
+        .labelNames("service")
+        .register(registry)
+
     /** Counts a request for [service] that ended with [status], or null if the client's connection was closed. */
     fun recordRequest(service: ServiceName?, status: Int?, reason: String?) =
         requests.labelValues(service?.value ?: NONE, status?.toString() ?: NONE, reason ?: NONE).inc()
@@ -62,6 +68,9 @@
         attempts.labelValues(service.value, label).inc()
     }
 
+    /** Counts a request that is sent to a target of [service] that is warming up. */
+    fun recordWarmUpRequest(service: ServiceName) = warmUpRequests.labelValues(service.value).inc()
+
     /** Counts a load report of a target of [service]. */
     fun recordLoadReport(service: ServiceName, isOverBound: Boolean) =
         loadReports.labelValues(service.value, if (isOverBound) "over" else "within").inc()
