--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/LoadSimulation.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/LoadSimulation.kt
@@ -11,8 +11,10 @@
 import org.cicadaarch.dispatch.request.ExchangeId
 import org.cicadaarch.dispatch.routing.RetryPolicy
 import org.cicadaarch.dispatch.routing.Route
+import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.routing.WeightedService
 import org.cicadaarch.dispatch.target.TargetEntry
+import org.cicadaarch.dispatch.warmup.WarmUpLimit
 import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
@@ -32,6 +34,7 @@
     seed: Long,
     private val kinds: List<LoadKind> = LoadKind.GUILD,
     private val slots: Int = 12,
+    private val warmUp: WarmUpLimit? = null,
 ) {
     private val random = Random(seed)
     private val time = VirtualTime()
@@ -48,8 +51,8 @@
     var requests = 0
         private set
 
-    private val dispatchers = List(routers) {
-        SimulatedDispatcher(SETTINGS, time, target = simulatedTargets::get, onArrival = ::arrived)
+    private val dispatchers = List(routers) { number ->
+        SimulatedDispatcher(SETTINGS, time, simulatedTargets::get, routerSeed = number.toLong(), onArrival = ::arrived)
     }
 
     private val fleet = SimulatedFleet(dispatchers, time, Random(seed))
@@ -59,6 +62,7 @@
     val failures: Int get() = dispatchers.sumOf { it.failures }
 
     init {
+        if (warmUp != null) limitWarmUp(warmUp)
         repeat(targets) { addTarget() }
         publishTargets()
         scheduleArrival()
@@ -76,6 +80,15 @@
         publishTargets(spread = 500)
     }
 
+    /** At [start], other processes take the place of [count] targets, which warm up for [warmUpRemaining]. */
+    fun replace(start: Duration, count: Int, warmUpRemaining: Duration) = time.at(origin + start) {
+        simulatedTargets.values.take(count).forEach { before ->
+            val entry = before.entry.copy(startedAtMillis = 2, warmUpRemaining = warmUpRemaining)
+            simulatedTargets[entry.id] = SimulatedTarget(entry, time)
+        }
+        publishTargets(spread = 500)
+    }
+
     /** Runs for [duration] and returns the worst window after the first seconds. */
     fun run(duration: Duration): LoadRecord.Window {
         time.runUntil(origin + duration)
@@ -104,6 +117,9 @@
         dispatchers.forEach { time.after(random.nextInt(spread).milliseconds) { it.targetsChanged(entries) } }
     }
 
+    private fun limitWarmUp(limit: WarmUpLimit) =
+        dispatchers.forEach { it.servicesChanged(mapOf(SERVICE to ServiceLimits(CONNECTION_LIMIT, limit))) }
+
     private fun scheduleArrival() {
         val gap = -ln(1.0 - random.nextDouble()) / requestsPerSecond
         time.after(gap.seconds) {
@@ -159,6 +175,7 @@
         val SERVICE = ServiceName("service")
         val ZONE = ZoneName("a")
         const val BOUND_SLACK = 3.0
+        const val CONNECTION_LIMIT = 1_000
         const val SPREAD = 0.6
         val WARM_UP = 3.seconds
         val REUSE_WINDOW = 10.seconds
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/SimulatedDispatcher.kt
@@ -12,8 +12,10 @@
 import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.dispatch.request.DispatchState
 import org.cicadaarch.dispatch.request.ExchangeId
+import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.TargetEntry
 import org.cicadaarch.forwarding.peer.ObservedDispatch
+import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
 import org.cicadaarch.model.Timestamp
 
@@ -22,13 +24,14 @@
     settings: DispatchSettings,
     private val time: VirtualTime,
     private val target: (TargetId) -> SimulatedTarget?,
+    routerSeed: Long = 0,
     private val onArrival: (SimulatedTarget, SimulatedRequest) -> Unit,
 ) : ObservedDispatch {
     private val reducer = DispatchReducer(settings)
     private val requests = HashMap<ExchangeId, SimulatedRequest>()
     private var tickAt: Timestamp? = null
 
-    var state = DispatchState()
+    var state = DispatchState(routerSeed = routerSeed)
         private set
 
     /** Requests that this router failed by itself. */
@@ -45,6 +48,8 @@
 
     override fun apply(summary: ObservationSummary) = submit(DispatchEvent.FleetObserved(summary))
 
+    fun servicesChanged(services: Map<ServiceName, ServiceLimits>) = submit(DispatchEvent.ServicesChanged(services))
+
     fun targetsChanged(entries: List<TargetEntry>) = submit(DispatchEvent.TargetsChanged(entries))
 
     fun receive(dispatchRequest: DispatchRequest, request: SimulatedRequest) {
