Send requests to targets of streams that their clients do not read

Nothing is read from a target while its stream is paused for a slow client, so a target without other data passed for unresponsive after 0.6 s and got no requests. A paused attempt now reports every 300 ms that its target has data. A target that hangs while one of its streams is paused is found by other failures only.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -190,6 +190,7 @@
             metrics = metrics,
             submit = ::submit,
             afterNextRead = ::afterNextRead,
+            schedule = ::schedule,
             onEnd = ::ended,
             exchange = exchange,
         )
@@ -311,6 +312,10 @@
         eventLoop.schedule(task, 0, TimeUnit.NANOSECONDS)
     }
 
+    private fun schedule(delay: Duration, task: () -> Unit) {
+        eventLoop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
     private fun scheduleTick() {
         val next = reducer.nextTick(state, NanoTimeClock.now()) ?: return
         val scheduledAt = tickAt
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -157,6 +157,8 @@
         private var heldBytes = 0
         private var lastProgressAt: Timestamp = NanoTimeClock.now()
         private var firstEventAt: Timestamp? = null
+        private var isPaused = false
+        private var isPauseReportScheduled = false
         private var sentAtLogicalTime = 0L
         private val deadline: Timestamp = NanoTimeClock.now() + effect.timeLeft
 
@@ -198,7 +200,23 @@
         }
 
         fun setAutoRead(isEnabled: Boolean) {
-            if (!isFinished) connection?.setAutoRead(isEnabled)
+            if (isFinished) return
+            connection?.setAutoRead(isEnabled)
+            isPaused = !isEnabled
+            if (isPaused) reportWhilePaused()
+        }
+
+        /** What the target sends is not read while the attempt is paused, so its silence says nothing about it. */
+        private fun reportWhilePaused() {
+            if (isPauseReportScheduled) return
+            isPauseReportScheduled = true
+            context.schedule(PAUSE_REPORT_INTERVAL) {
+                isPauseReportScheduled = false
+                if (isPaused && !isFinished) {
+                    context.submit(DispatchEvent.DataReceived(context.dispatchRequest.id, number))
+                    reportWhilePaused()
+                }
+            }
         }
 
         override fun onHead(response: HttpResponse, metadata: ResponseMetadata) {
@@ -304,7 +322,7 @@
                 EventIdParser.parse(event)?.let { lastEventId = it }
             }
             client.writeContent(event)
-            if (!client.isWritable) connection?.setAutoRead(false)
+            if (!client.isWritable) setAutoRead(false)
             val now = NanoTimeClock.now()
             if (now - lastProgressAt >= PROGRESS_INTERVAL) {
                 lastProgressAt = now
@@ -382,6 +400,9 @@
         const val EVENT_STREAM = "text/event-stream"
         val PROGRESS_INTERVAL = 100.milliseconds
 
+        /** Shorter than the silence after which a target passes for unresponsive. */
+        val PAUSE_REPORT_INTERVAL = 300.milliseconds
+
         /** From the first event of a stream until the loss of its connection, if the request is the reason for that. */
         val RESPONSE_START_TIME = 1.seconds
 
