--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
@@ -64,7 +64,7 @@
 
     private fun abort(owner: BacklogOwner) {
         val backlog = backlogs.getValue(owner)
-        LogEvents.warn("response-aborted") {
+        LogEvents.info("response-aborted") {
             "request" to owner.requestId
             "unsentBytes" to backlog.unsentBytes
             "unreadMillis" to (scheduler.now() - backlog.unreadSince).inWholeMilliseconds
