Tidy the tasks of exchanges for the linter

Detekt counted too many parameters of ExchangeContext after the delay for paused attempts was added: both kinds of delayed tasks are now in ExchangeTasks. Detekt and the wire words are clean; SlowReaderTest, PausedStreamTest, SlowClientTest, RequestFramingTest and the tests of backlogs pass.

--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
@@ -25,7 +25,7 @@
     /** Number of responses of which bytes are unsent. */
     val responseCount: Int get() = backlogs.size
 
-    /** Notes what is unsent at [owner] now. Called after each write to the client, and when the client has taken some. */
+    /** Notes what is unsent at [owner]. Called after each write to the client, and when the client has taken some. */
     fun update(owner: BacklogOwner) {
         val bytes = owner.unsentBytes
         if (bytes <= 0) return remove(owner)
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/client/ClientConnectionHandler.kt
@@ -54,6 +54,8 @@
     private var isClosing = false
     private var isLingering = false
 
+    private val canProcess: Boolean get() = exchange == null && isWritable && !isClosing
+
     override val isWritable: Boolean get() = context.channel().isWritable
 
     override var requestId: String? = null
@@ -182,7 +184,7 @@
     }
 
     private fun processPipelined() {
-        while (!pipelined.isEmpty && exchange == null && isWritable && !isClosing) process(pipelined.removeFirst())
+        while (!pipelined.isEmpty && canProcess) process(pipelined.removeFirst())
         context.channel().config().isAutoRead = exchange != null || isWritable || isClosing
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -1,7 +1,6 @@
 package org.cicadaarch.forwarding.exchange
 
 import kotlin.math.roundToInt
-import kotlin.time.Duration
 import org.cicadaarch.dispatch.request.AttemptResult
 import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
@@ -21,8 +20,7 @@
 
 /**
  * What a [ForwardingExchange] needs besides the client request, and where it reports progress: metrics, the log and the
- * dispatch reducer. [afterNextRead] runs a task after the event loop has handled everything that connections have
- * received by now, [schedule] one after a delay.
+ * dispatch reducer.
  */
 internal class ExchangeContext(
     val dispatchRequest: DispatchRequest,
@@ -37,8 +35,7 @@
     val quarantine: QuarantineManager,
     private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
-    val afterNextRead: (() -> Unit) -> Unit,
-    val schedule: (Duration, () -> Unit) -> Unit,
+    val tasks: ExchangeTasks,
     private val onEnd: (ForwardingExchange) -> Unit,
     private val exchange: ForwardingExchange,
 ) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -50,6 +50,7 @@
     private val quarantine: QuarantineManager,
 ) : ObservedDispatch {
     private var reducer = DispatchReducer(settings)
+    private val tasks = ExchangeTasks(eventLoop)
     private val openExchanges = HashMap<ExchangeId, ForwardingExchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isProcessing = false
@@ -189,8 +190,7 @@
             quarantine = quarantine,
             metrics = metrics,
             submit = ::submit,
-            afterNextRead = ::afterNextRead,
-            schedule = ::schedule,
+            tasks = tasks,
             onEnd = ::ended,
             exchange = exchange,
         )
@@ -304,18 +304,6 @@
         quarantine.requestRefused(effect.rule)
     }
 
-    /**
-     * Each turn of the event loop polls all connections, then runs the tasks that are due. A task that is scheduled by
-     * another one is due in the next turn.
-     */
-    private fun afterNextRead(task: () -> Unit) = eventLoop.execute {
-        eventLoop.schedule(task, 0, TimeUnit.NANOSECONDS)
-    }
-
-    private fun schedule(delay: Duration, task: () -> Unit) {
-        eventLoop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
     private fun scheduleTick() {
         val next = reducer.nextTick(state, NanoTimeClock.now()) ?: return
         val scheduledAt = tickAt
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -166,7 +166,7 @@
          * Sends the request on [opened], unless the client has left. Its close may wait unread behind its request, or
          * have arrived while the event loop was busy.
          */
-        fun onConnected(opened: TargetConnection) = context.afterNextRead { sendUnlessFinished(opened) }
+        fun onConnected(opened: TargetConnection) = context.tasks.afterNextRead { sendUnlessFinished(opened) }
 
         private fun sendUnlessFinished(opened: TargetConnection) {
             val timeLeft = deadline - NanoTimeClock.now()
@@ -210,7 +210,7 @@
         private fun reportWhilePaused() {
             if (isPauseReportScheduled) return
             isPauseReportScheduled = true
-            context.schedule(PAUSE_REPORT_INTERVAL) {
+            context.tasks.after(PAUSE_REPORT_INTERVAL) {
                 isPauseReportScheduled = false
                 if (isPaused && !isFinished) {
                     context.submit(DispatchEvent.DataReceived(context.dispatchRequest.id, number))
