--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
@@ -25,7 +25,7 @@
     /** Number of responses of which bytes are unsent. */
     val responseCount: Int get() = backlogs.size
 
-    /** Notes what is unsent at [owner] now. Called after each write to the client, and when the client has taken some. */
+    /** Notes what is unsent at [owner]. Called after each write to the client, and when the client has taken some. */
     fun update(owner: BacklogOwner) {
         val bytes = owner.unsentBytes
         if (bytes <= 0) return remove(owner)
@@ -64,7 +64,7 @@
 
     private fun abort(owner: BacklogOwner) {
         val backlog = backlogs.getValue(owner)
-        LogEvents.warn("response-aborted") {
+        LogEvents.info("response-aborted") {
             "request" to owner.requestId
             "unsentBytes" to backlog.unsentBytes
             "unreadMillis" to (scheduler.now() - backlog.unreadSince).inWholeMilliseconds
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -20,8 +20,7 @@
 
 /**
  * What a [ForwardingExchange] needs besides the client request, and where it reports progress: metrics, the log and the
- * dispatch reducer. [afterNextRead] runs a task after the event loop has handled everything that connections have
- * received by now.
+ * dispatch reducer.
  */
 internal class ExchangeContext(
     val dispatchRequest: DispatchRequest,
@@ -36,7 +35,7 @@
     val quarantine: QuarantineManager,
     private val metrics: ForwardingMetrics,
     val submit: (DispatchEvent) -> Unit,
-    val afterNextRead: (() -> Unit) -> Unit,
+    val tasks: ExchangeTasks,
     private val onEnd: (ForwardingExchange) -> Unit,
     private val exchange: ForwardingExchange,
 ) {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -51,6 +51,7 @@
     private val quarantine: QuarantineManager,
 ) : ObservedDispatch {
     private var reducer = DispatchReducer(settings)
+    private val tasks = ExchangeTasks(eventLoop)
     private val openExchanges = HashMap<ExchangeId, ForwardingExchange>()
     private val events = ArrayDeque<DispatchEvent>()
     private var isProcessing = false
@@ -190,7 +191,7 @@
             quarantine = quarantine,
             metrics = metrics,
             submit = ::submit,
-            afterNextRead = ::afterNextRead,
+            tasks = tasks,
             onEnd = ::ended,
             exchange = exchange,
         )
@@ -321,14 +322,6 @@
         quarantine.requestRefused(effect.rule)
     }
 
-    /**
-     * Each turn of the event loop polls all connections, then runs the tasks that are due. A task that is scheduled by
-     * another one is due in the next turn.
-     */
-    private fun afterNextRead(task: () -> Unit) = eventLoop.execute {
-        eventLoop.schedule(task, 0, TimeUnit.NANOSECONDS)
-    }
-
     private fun scheduleTick() {
         val next = reducer.nextTick(state, NanoTimeClock.now()) ?: return
         val scheduledAt = tickAt
