Order queued requests by priority, share and time left

The queue was ordered by priority and arrival, so that one account could take the slots of the others, and a request that arrived early went before one with less time left. Now each account's share of the slots follows its usual load (start-time fair queuing, its accounting taken from cicadaarch-admission as FairShares), and within it time decides. Kinds and large requests that are served far less than the others go first.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairQueue.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairQueue.kt
@@ -6,16 +6,13 @@
 import org.cicadaarch.model.AttemptId
 
 /**
- * A target's queue, shared among client accounts by start-time fair queuing (Goyal, Vin and Cheng, 1996).
- *
- * Each grant advances the finish tag of its account by the request's work divided by the account's weight. The account
- * with the lowest tag is served next. Tags up to [virtualTime] have no effect and are dropped.
+ * A target's queue, shared among client accounts by start-time fair queuing ([FairShares]): the account with the lowest
+ * start tag is served next, and each grant charges its account.
  */
 data class FairQueue(
     val entries: PersistentMap<AttemptId, QueuedRequest> = persistentMapOf(),
     private val accounts: PersistentMap<AccountId, AccountQueue> = persistentMapOf(),
-    private val finishTags: PersistentMap<AccountId, Double> = persistentMapOf(),
-    private val virtualTime: Double = 0.0,
+    private val shares: FairShares = FairShares(),
 ) {
     /** The number of waiting requests. */
     val size: Int get() = entries.size
@@ -46,7 +43,7 @@
 
     /** The request to serve next, or null when none is waiting. */
     fun first(): QueuedRequest? = accounts.keys
-        .minWithOrNull(compareBy<AccountId> { startTag(it) }.thenBy { it })
+        .minWithOrNull(compareBy<AccountId> { shares.startTag(it) }.thenBy { it })
         ?.let { accounts.getValue(it).first() }
         ?.let { entries.getValue(it) }
 
@@ -65,13 +62,8 @@
 
     /** Charges [account], which has [weight], for [work] that starts now. */
     fun charge(account: AccountId, work: Double, weight: Int): FairQueue {
-        val start = startTag(account)
-        val time = maxOf(virtualTime, if (accounts.isEmpty()) virtualTime else start)
-        val tags = finishTags.put(account, start + work / weight)
-        return copy(
-            finishTags = if (tags.size > PRUNE_TAGS_ABOVE) withoutPassed(tags, time) else tags,
-            virtualTime = time,
-        )
+        val firstStart = if (accounts.isEmpty()) shares.virtualTime else shares.startTag(account)
+        return copy(shares = shares.charge(account, work, weight.toDouble(), firstStart))
     }
 
     /**
@@ -85,15 +77,4 @@
             if (other == account) 0 else minOf(queue.size, (rounds * weight(other)).toInt())
         }
     }
-
-    private fun startTag(account: AccountId): Double = maxOf(virtualTime, finishTags[account] ?: virtualTime)
-
-    private fun withoutPassed(tags: PersistentMap<AccountId, Double>, time: Double) =
-        tags.entries.fold(tags) { remaining, (account, tag) ->
-            if (tag <= time) remaining.remove(account) else remaining
-        }
-
-    private companion object {
-        const val PRUNE_TAGS_ABOVE = 64
-    }
 }
--- /dev/null
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
@@ -0,0 +1,37 @@
+package org.cicadaarch.dispatch.admission
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.admission.FairShares
+import org.cicadaarch.model.Timestamp
+
+/**
+ * What was served of the requests for one service: by [kinds], and by account in [usualShares] and, as far as they had to
+ * queue, in [fairShares]. [meanCost] is a moving average of the cost of a request in seconds of a slot.
+ */
+data class ServiceQueueRecord(
+    val kinds: PersistentMap<RequestKind, KindRecord> = persistentMapOf(),
+    val fairShares: FairShares = FairShares(),
+    val usualShares: UsualShares = UsualShares(),
+    val meanCost: Double = 0.0,
+    val responses: ResponseRecord = ResponseRecord(),
+) {
+    /** The mean over the kinds of the ratio of requests that were sent lately. */
+    fun meanServed(now: Timestamp): Double =
+        if (kinds.isEmpty()) 1.0 else kinds.values.sumOf { it.served.at(now) } / kinds.size
+
+    /** A copy with the record of [kind] after [change]. */
+    fun withKind(kind: RequestKind, change: (KindRecord) -> KindRecord): ServiceQueueRecord {
+        val updated = kinds.remove(kind).put(kind, change(kinds[kind] ?: KindRecord()))
+        return copy(kinds = if (updated.size > MAX_KINDS) updated.remove(updated.keys.first()) else updated)
+    }
+
+    /** A copy with a request of [cost] in the mean. */
+    fun withCost(cost: Double): ServiceQueueRecord =
+        copy(meanCost = if (meanCost == 0.0) cost else meanCost + (cost - meanCost) * MEAN_WEIGHT)
+
+    private companion object {
+        const val MAX_KINDS = 64
+        const val MEAN_WEIGHT = 0.05
+    }
+}
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/RunTimes.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/RunTimes.kt
@@ -11,7 +11,10 @@
  */
 data class RunTimes(private val byRoute: PersistentMap<String, Duration> = persistentMapOf()) {
     /** The usual time for a request on [route]; [UNKNOWN] before the first one. */
-    fun usual(route: Route): Duration = byRoute[route.name] ?: UNKNOWN
+    fun usual(route: Route): Duration = known(route) ?: UNKNOWN
+
+    /** The usual time for a request on [route], or null before the first one has ended. */
+    fun known(route: Route): Duration? = byRoute[route.name]
 
     /** A copy with a request on [route] that took [time]. */
     fun with(route: Route, time: Duration): RunTimes {
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchReducer.kt
@@ -53,7 +53,7 @@
     /** When the next [DispatchEvent.Tick] after [now] is due, or null if no request is open. */
     fun nextTick(state: DispatchState, now: Timestamp): Timestamp? {
         val nextTimeout = state.requests.values.minOfOrNull { RequestTimers.nextTimeout(it) } ?: return null
-        val hasQueued = state.requests.values.any { it.phase is OpenRequest.Phase.Queued }
+        val hasQueued = state.queued.isNotEmpty()
         val backOffEnd = if (hasQueued) state.targetNotices.nextBackOffEnd(now) else null
         return listOfNotNull(nextTimeout, backOffEnd).min()
     }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -1,7 +1,10 @@
 package org.cicadaarch.dispatch.request
 
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentMapOf
+import org.cicadaarch.dispatch.admission.AdmissionState
 import org.cicadaarch.dispatch.evacuation.Evacuations
 import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.PromptLocations
@@ -23,4 +26,23 @@
     val observations: RequestObservations = RequestObservations(),
     val services: Map<ServiceName, ServiceLimits> = emptyMap(),
     val evacuations: Evacuations = Evacuations(),
-)
+    val admission: AdmissionState = AdmissionState(),
+    private val queuedIds: PersistentSet<ExchangeId> = persistentHashSetOf(),
+) {
+    /** The requests that wait for a target. */
+    val queued: List<OpenRequest> get() = queuedIds.map { requests.getValue(it) }
+
+    /** A copy with [open] as the state of its request. */
+    fun withRequest(open: OpenRequest): DispatchState {
+        val id = open.request.id
+        val isQueued = open.phase is OpenRequest.Phase.Queued
+        return copy(
+            requests = requests.put(id, open),
+            queuedIds = if (isQueued) queuedIds.add(id) else queuedIds.remove(id),
+        )
+    }
+
+    /** A copy without request [id]. */
+    fun withoutRequest(id: ExchangeId): DispatchState =
+        copy(requests = requests.remove(id), queuedIds = queuedIds.remove(id))
+}
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -2,6 +2,8 @@
 
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.dispatch.admission.QueueAccounting
+import org.cicadaarch.dispatch.admission.QueueScan
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
@@ -44,7 +46,9 @@
         val before = state.retryBudgets[request.service] ?: RetryBudget(settings.retrySlack)
         val budget = before.withRequest(settings.retryRatio * RETRY_RATIO_FRACTION, capacity = settings.retrySlack)
         state = state.copy(retryBudgets = state.retryBudgets.put(request.service, budget))
-        sendOrQueue(OpenRequest(request = request, arrivedAt = now, phase = Queued(now)))
+        state = state.copy(admission = state.admission.withArrival(request, now))
+        putRequest(OpenRequest(request = request, arrivedAt = now, phase = Queued(now)))
+        sendQueued()
     }
 
     fun responseStarted(id: ExchangeId, attempt: Int) {
@@ -62,6 +66,7 @@
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
         updateTarget(inFlight) { withResult(it.withAttemptEnded(), result) }
         state = state.copy(observations = state.observations.withResult(open.request, inFlight, result, now))
+        state = state.copy(admission = state.admission.withResult(open.request.service, result, now))
         when (result) {
             is AttemptResult.Answered -> if (open.hasResponseStarted && !result.isDelivered) {
                 attemptBroken(open, "not-resumed")
@@ -209,8 +214,12 @@
     }
 
     private fun sendQueued() {
-        val queued = state.requests.values.filter { it.phase is Queued }
-        queued.sortedWith(compareBy({ it.request.priority }, { it.arrivedAt })).forEach { sendOrQueue(it) }
+        val scan = QueueScan(now)
+        while (true) {
+            val open = scan.next(state) ?: return
+            sendOrQueue(open)
+            scan.tried(open, state)
+        }
     }
 
     private fun selectTarget(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
@@ -229,6 +238,7 @@
         val target = selection.target
         val id = target.entry.id
         val attempt = open.attempts + 1
+        if (attempt == 1) state = state.copy(admission = QueueAccounting.sent(state, open.request, now))
         putRequest(
             open.copy(
                 phase = InFlight(target.entry, sentAt = now),
@@ -319,11 +329,11 @@
     }
 
     private fun putRequest(open: OpenRequest) {
-        state = state.copy(requests = state.requests.put(open.request.id, open))
+        state = state.withRequest(open)
     }
 
     private fun removeRequest(id: ExchangeId) {
-        state = state.copy(requests = state.requests.remove(id))
+        state = state.withoutRequest(id)
     }
 
     private companion object {
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
@@ -8,7 +8,8 @@
  * A request that has not ended.
  *
  * [attempts] counts all attempts, [possibleRuns] only those that may have run. [triedTargets] are the targets of all
- * attempts. [hasResponseStarted] is set once the client has received part of the response.
+ * attempts. [hasResponseStarted] is set once the client has received part of the response. In the order of the queue,
+ * the request counts as having arrived at [queuedFrom].
  */
 data class OpenRequest(
     val request: DispatchRequest,
@@ -18,6 +19,7 @@
     val possibleRuns: Int = 0,
     val triedTargets: Set<TargetId> = emptySet(),
     val hasResponseStarted: Boolean = false,
+    val queuedFrom: Timestamp = arrivedAt,
 ) {
     /** When the time allowed for the request is over. */
     val deadline: Timestamp = arrivedAt + request.timeAllowed
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
@@ -1,11 +1,13 @@
 package org.cicadaarch.dispatch.request
 
+import kotlin.time.Duration
 import org.cicadaarch.dispatch.observation.FleetDemands
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.PromptId
 import org.cicadaarch.dispatch.observation.RunTimes
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
+import org.cicadaarch.dispatch.routing.Route
 import org.cicadaarch.model.Timestamp
 
 /**
@@ -21,6 +23,12 @@
     fun demand(request: DispatchRequest, now: Timestamp): Double =
         promptOf(request)?.let { fleetDemands.of(it, now) } ?: 0.0
 
+    /** The usual time that targets need for a request on [route]. */
+    fun usualRunTime(route: Route): Duration = runTimes.usual(route)
+
+    /** The same, or null if no request on [route] has ended yet. */
+    fun knownRunTime(route: Route): Duration? = runTimes.known(route)
+
     /** A copy that counts an attempt for [request]. */
     fun withSent(request: DispatchRequest): RequestObservations {
         val prompt = promptOf(request) ?: return this
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeManager.kt
@@ -213,6 +213,8 @@
             timeAllowed = minOf(metadata.timeout ?: route.timeout, route.timeout) - elapsed,
             promptKey = if (route.hasPromptAffinity) sharedPart?.id else null,
             work = metadata.work,
+            account = account?.id,
+            sharedPromptTokens = metadata.sharedPromptParts.sumOf { it.tokens },
         )
     }
 
