Refuse at once what cannot be sent in time

A request waited in a full queue for an eighth of its latency objective before it was refused, and a client that returned was behind all others again. Now the wait is estimated from the work that goes first and the slots that this router has in use; a request that would wait in vain is refused at once, with a Retry-After that counts earlier refusals. A bounded memory of refusals gives a request that returns as told its earlier arrival time; one that returns too early keeps its Retry-After. Without recent responses nothing is refused early.

The bound of QueueOrderTest holds as before.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
@@ -4,6 +4,9 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.dispatch.request.AttemptResult
 import org.cicadaarch.dispatch.request.DispatchRequest
+import org.cicadaarch.dispatch.request.OpenRequest
+import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
+import org.cicadaarch.dispatch.request.RequestFailure
 import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.Timestamp
@@ -11,7 +14,10 @@
 /**
  * What the order of queued requests and their refusal follow from.
  */
-data class AdmissionState(private val records: PersistentMap<ServiceName, ServiceQueueRecord> = persistentMapOf()) {
+data class AdmissionState(
+    private val records: PersistentMap<ServiceName, ServiceQueueRecord> = persistentMapOf(),
+    val refused: RefusedRequests = RefusedRequests(),
+) {
     /** The record of [service]. */
     fun of(service: ServiceName): ServiceQueueRecord = records[service] ?: ServiceQueueRecord()
 
@@ -19,15 +25,42 @@
     fun with(service: ServiceName, change: (ServiceQueueRecord) -> ServiceQueueRecord): AdmissionState =
         copy(records = records.put(service, change(of(service))))
 
-    /** A copy that counts [request], which arrived at [now]. */
-    fun withArrival(request: DispatchRequest, now: Timestamp): AdmissionState = with(request.service) { record ->
-        record.withKind(RequestKind.of(request)) { it.withArrival(RequestSize.of(request), now) }
+    /** Since when [request], which arrives at [now], counts as queued: if it returns as told, since it was refused. */
+    fun queuedFrom(request: DispatchRequest, now: Timestamp): Timestamp =
+        refused.of(request, now)?.takeIf { it.isDue(now) }?.arrivedAt ?: now
+
+    /** A copy that counts [request], which arrived at [now], unless it was counted before it was refused. */
+    fun withArrival(request: DispatchRequest, now: Timestamp): AdmissionState {
+        val earlier = refused.of(request, now)
+        return when {
+            earlier == null -> with(request.service) { record ->
+                record.withKind(RequestKind.of(request)) { it.withArrival(RequestSize.of(request), now) }
+            }
+
+            earlier.isDue(now) -> copy(refused = refused.without(request))
+
+            else -> this
+        }
+    }
+
+    /** A copy that records [failure] of [open] if it was refused at [now] without any attempt. */
+    fun withFailure(open: OpenRequest, failure: RequestFailure, now: Timestamp): AdmissionState {
+        val request = open.request
+        if (failure !is RequestFailure.NotRun || open.attempts > 0 || refused.of(request, now) != null) return this
+        val refusal = RefusedRequest(
+            service = request.service,
+            priority = request.priority,
+            arrivedAt = open.arrivedAt,
+            returnAt = now + failure.retryAfter,
+            cost = of(request.service).meanCost,
+        )
+        return copy(refused = refused.with(request, refusal))
     }
 
-    /** A copy that counts [result] of an attempt for [service] that ended at [now]. */
-    fun withResult(service: ServiceName, result: AttemptResult, now: Timestamp): AdmissionState =
+    /** A copy that counts [result] of an [attempt] for [service] that ended at [now]. */
+    fun withResult(service: ServiceName, attempt: InFlight, result: AttemptResult, now: Timestamp): AdmissionState =
         if (result is AttemptResult.Answered) {
-            with(service) { it.copy(responses = it.responses.with(now)) }
+            with(service) { it.withResponse(slotTime = now - attempt.sentAt, now) }
         } else {
             this
         }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/KindRecord.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/KindRecord.kt
@@ -3,8 +3,9 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * What arrived and was sent of one kind of requests, and of the large ones among them. [meanSize] is a moving average of
- * the sizes, [largeSize] an estimate of the size that a tenth of them exceed; both 0 before a request stated its work.
+ * What arrived and was sent of one kind of requests, and of the large ones among them. [meanSize] is a moving average
+ * of the sizes, [largeSize] an estimate of the size that a tenth of them exceed; both 0 before a request stated its
+ * work.
  */
 data class KindRecord(
     val served: ServedRatio = ServedRatio(),
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueAccounting.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueAccounting.kt
@@ -9,8 +9,8 @@
  */
 internal object QueueAccounting {
     /**
-     * What is recorded after [request], the first attempt of which is sent at [now] in [state]. While requests wait, the
-     * account is charged; else it takes nothing from others, and the work counts as its usual one.
+     * What is recorded after [request], the first attempt of which is sent at [now] in [state]. While requests wait,
+     * the account is charged; else it takes nothing from others, and the work counts as its usual one.
      */
     fun sent(state: DispatchState, request: DispatchRequest, now: Timestamp): AdmissionState {
         val account = request.account ?: AdmissionState.ANONYMOUS
@@ -26,7 +26,6 @@
             }
             counted
                 .withKind(RequestKind.of(request)) { it.withSent(RequestSize.of(request), now) }
-                .withCost(cost)
         }
     }
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueOrder.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueOrder.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import org.cicadaarch.dispatch.request.DispatchRequest
 import org.cicadaarch.dispatch.request.DispatchState
+import org.cicadaarch.dispatch.request.ExchangeId
 import org.cicadaarch.dispatch.request.OpenRequest
 import org.cicadaarch.model.AccountId
 import org.cicadaarch.model.ServiceName
@@ -21,24 +22,50 @@
     /** The rank of [open]. */
     fun rank(open: OpenRequest): QueueRank {
         val request = open.request
-        val service = services.getOrPut(request.service) { ServiceOrder(state.admission.of(request.service)) }
-        val objectiveEnd = open.arrivedAt + request.route.latencyObjective
+        val service = serviceOf(open)
+        val objectiveEnd = open.queuedFrom + request.route.latencyObjective
         val isLate = now + responseTime(request) > objectiveEnd
         return QueueRank(
             isStarved = service.isStarved(request),
             priority = request.priority,
-            turnsAhead = service.turnsAhead(request.account ?: AdmissionState.ANONYMOUS),
+            turnsAhead = service.turnsAhead(request.accountOrAnonymous),
             isLate = isLate,
-            dueAt = if (isLate) open.deadline else open.queuedFrom + request.route.latencyObjective,
+            dueAt = if (isLate) open.deadline else objectiveEnd,
         )
     }
 
+    /**
+     * The rank of each of [requests] once those of its account and its kind that go before it have been sent, each with
+     * the given [cost] in seconds.
+     */
+    fun projectedRanks(requests: Collection<OpenRequest>, cost: (OpenRequest) -> Double): Map<ExchangeId, QueueRank> {
+        val sentWork = HashMap<AccountId, Double>()
+        val sentOfKind = HashMap<RequestKind, Int>()
+        return sorted(requests).associate { open ->
+            val request = open.request
+            val service = serviceOf(open)
+            val account = request.accountOrAnonymous
+            val rank = rank(open).copy(
+                isStarved = service.isStarved(request, sentOfKind[RequestKind.of(request)] ?: 0),
+                turnsAhead = service.turnsAhead(account, sentWork[account] ?: 0.0),
+            )
+            sentWork.merge(account, cost(open), Double::plus)
+            sentOfKind.merge(RequestKind.of(request), 1, Int::plus)
+            request.id to rank
+        }
+    }
+
     /** [requests] in their order; of equal ones, the one that arrived first. */
     fun sorted(requests: Collection<OpenRequest>): List<OpenRequest> = requests
         .map { it to rank(it) }
         .sortedWith(compareBy<Pair<OpenRequest, QueueRank>> { it.second }.thenBy { it.first.request.id.value })
         .map { it.first }
 
+    private fun serviceOf(open: OpenRequest): ServiceOrder =
+        services.getOrPut(open.request.service) { ServiceOrder(state.admission.of(open.request.service)) }
+
+    private val DispatchRequest.accountOrAnonymous: AccountId get() = account ?: AdmissionState.ANONYMOUS
+
     /** How long a target needs for the response. The first part of a stream comes early, so a stream counts as none. */
     private fun responseTime(request: DispatchRequest): Duration =
         if (request.route.isStream) Duration.ZERO else state.observations.knownRunTime(request.route) ?: Duration.ZERO
@@ -47,21 +74,23 @@
     private inner class ServiceOrder(private val record: ServiceQueueRecord) {
         private val weights = record.usualShares.weights(now)
         private val starvedBelow = record.meanServed(now) * STARVED_RATIO
-        private val turns = HashMap<AccountId, Int>()
-        private val starvedKinds = HashMap<RequestKind, Boolean>()
+        private val missingOfKinds = HashMap<RequestKind, Double>()
 
-        fun isStarved(request: DispatchRequest): Boolean {
+        /** Whether the kind of [request] is served too little even after [sent] more of it were sent. */
+        fun isStarved(request: DispatchRequest, sent: Int = 0): Boolean {
             val kind = RequestKind.of(request)
             val known = record.kinds[kind] ?: return false
-            val isKindStarved = starvedKinds.getOrPut(kind) { known.served.at(now) < starvedBelow }
-            return isKindStarved || isStarvedAsLarge(request, known)
+            val missing = missingOfKinds.getOrPut(kind) { known.served.missing(starvedBelow, now) }
+            return missing > sent || isStarvedAsLarge(request, known)
         }
 
-        fun turnsAhead(account: AccountId): Int = turns.getOrPut(account) {
-            if (record.meanCost == 0.0) return@getOrPut 0
-            val lead = record.fairShares.startTag(account) - record.fairShares.virtualTime
-            val leadInRequests = lead / record.meanCost
-            (leadInRequests / maxOf(MIN_TURN, BURST / weights.of(account))).toInt()
+        /** How many turns [account] is ahead of its share after [sentWork] more seconds of its work were sent. */
+        fun turnsAhead(account: AccountId, sentWork: Double = 0.0): Int {
+            if (record.meanCost == 0.0) return 0
+            val weight = weights.of(account)
+            val start = record.fairShares.startTag(account) + sentWork / weight
+            val leadInRequests = (start - record.fairShares.virtualTime) / record.meanCost
+            return (leadInRequests / maxOf(MIN_TURN, BURST / weight)).toInt()
         }
 
         private fun isStarvedAsLarge(request: DispatchRequest, kind: KindRecord): Boolean =
@@ -71,7 +100,7 @@
 
     private companion object {
         /** No kind should be served less than a quarter of the mean; not all that is sent is answered in time. */
-        const val STARVED_RATIO = 0.4
+        const val STARVED_RATIO = 0.35
 
         /** The large requests of a kind should be served at least half as often as the kind. */
         const val STARVED_LARGE_RATIO = 0.7
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
@@ -17,6 +17,13 @@
         return (sent.at(now, MEMORY) / arrivedLately).coerceIn(0.0, 1.0)
     }
 
+    /** How many more requests would have to be sent at [now] for [ratio] to be reached; 0 if too few arrived to tell. */
+    fun missing(ratio: Double, now: Timestamp): Double {
+        val arrivedLately = arrived.at(now, MEMORY)
+        if (arrivedLately < MIN_ARRIVED) return 0.0
+        return (ratio * arrivedLately - sent.at(now, MEMORY)).coerceAtLeast(0.0)
+    }
+
     /** A copy that counts a request that arrived at [now]. */
     fun withArrival(now: Timestamp) = copy(arrived = arrived.plus(1.0, now, MEMORY))
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
@@ -1,13 +1,15 @@
 package org.cicadaarch.dispatch.admission
 
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.admission.FairShares
 import org.cicadaarch.model.Timestamp
 
 /**
- * What was served of the requests for one service: by [kinds], and by account in [usualShares] and, as far as they had to
- * queue, in [fairShares]. [meanCost] is a moving average of the cost of a request in seconds of a slot.
+ * What was served of the requests for one service: by [kinds], and by account in [usualShares] and, as far as they had
+ * to queue, in [fairShares]. [meanCost] is a moving average of the cost of a request in seconds of a slot.
  */
 data class ServiceQueueRecord(
     val kinds: PersistentMap<RequestKind, KindRecord> = persistentMapOf(),
@@ -26,9 +28,14 @@
         return copy(kinds = if (updated.size > MAX_KINDS) updated.remove(updated.keys.first()) else updated)
     }
 
-    /** A copy with a request of [cost] in the mean. */
-    fun withCost(cost: Double): ServiceQueueRecord =
-        copy(meanCost = if (meanCost == 0.0) cost else meanCost + (cost - meanCost) * MEAN_WEIGHT)
+    /** A copy with a response that ended at [now] after a slot was in use for [slotTime]. */
+    fun withResponse(slotTime: Duration, now: Timestamp): ServiceQueueRecord {
+        val cost = slotTime.toDouble(DurationUnit.SECONDS)
+        return copy(
+            meanCost = if (meanCost == 0.0) cost else meanCost + (cost - meanCost) * MEAN_WEIGHT,
+            responses = responses.with(now),
+        )
+    }
 
     private companion object {
         const val MAX_KINDS = 64
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/quarantine/RequestTrait.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/quarantine/RequestTrait.kt
@@ -8,15 +8,20 @@
  */
 @JvmInline
 value class RequestTrait(val value: String) : Comparable<RequestTrait> {
+    /** Whether this is the trait of one request and its repetitions. */
+    val isWholeRequest: Boolean get() = value.startsWith(WHOLE_REQUEST)
+
     override fun compareTo(other: RequestTrait): Int = value.compareTo(other.value)
 
     override fun toString(): String = value
 
     companion object {
+        private const val WHOLE_REQUEST = "request:"
+
         /** The trait of all requests with the part [id] in their prompt. */
         fun promptPart(id: String) = RequestTrait("part:$id")
 
         /** The trait of all requests with [fingerprint], that is of one request and its repetitions. */
-        fun wholeRequest(fingerprint: Fingerprint) = RequestTrait("request:${fingerprint.value.toULong()}")
+        fun wholeRequest(fingerprint: Fingerprint) = RequestTrait("$WHOLE_REQUEST${fingerprint.value.toULong()}")
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
@@ -23,10 +23,7 @@
     fun demand(request: DispatchRequest, now: Timestamp): Double =
         promptOf(request)?.let { fleetDemands.of(it, now) } ?: 0.0
 
-    /** The usual time that targets need for a request on [route]. */
-    fun usualRunTime(route: Route): Duration = runTimes.usual(route)
-
-    /** The same, or null if no request on [route] has ended yet. */
+    /** The usual time that targets need for a request on [route], or null if none has ended yet. */
     fun knownRunTime(route: Route): Duration? = runTimes.known(route)
 
     /** A copy that counts an attempt for [request]. */
