Count tokens when a target is selected

The load of a target was its number of requests, so that a long prompt stalled the short ones behind it, and a target's memory was not looked at. Where requests state their work and the service its memory, a target now gets nothing that this router's requests in flight there leave no room for, and another one below the load bound is preferred while it has long prompts to read.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
@@ -34,7 +34,8 @@
         val earlier = refused.of(request, now)
         return when {
             earlier == null -> with(request.service) { record ->
-                record.withKind(RequestKind.of(request)) { it.withArrival(RequestSize.of(request), now) }
+                val counted = record.withKind(RequestKind.of(request)) { it.withArrival(RequestSize.of(request), now) }
+                request.work?.let { counted.withPrompt(it.promptTokens) } ?: counted
             }
 
             earlier.isDue(now) -> copy(refused = refused.without(request))
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueScan.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueScan.kt
@@ -48,10 +48,15 @@
             state.targetNotices.nextBackOffEnd(now) == null &&
             state.heldRequests.ruleFor(open.request.traits) == null
 
-    /** Requests that need the same of a target. */
-    private data class Group(val service: ServiceName, val hasPrompt: Boolean) {
+    /** Requests that need the same of a target; their tokens have the same number of binary digits, [sizeClass]. */
+    private data class Group(val service: ServiceName, val hasPrompt: Boolean, val sizeClass: Int) {
         companion object {
-            fun of(open: OpenRequest) = Group(open.request.service, open.request.promptKey != null)
+            fun of(open: OpenRequest): Group {
+                val request = open.request
+                val tokens = request.work?.let { it.promptTokens + it.outputTokens } ?: 0
+                val sizeClass = Int.SIZE_BITS - tokens.countLeadingZeroBits()
+                return Group(request.service, request.promptKey != null, sizeClass)
+            }
         }
     }
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
@@ -17,7 +17,7 @@
         return (sent.at(now, MEMORY) / arrivedLately).coerceIn(0.0, 1.0)
     }
 
-    /** How many more requests would have to be sent at [now] for [ratio] to be reached; 0 if too few arrived to tell. */
+    /** How many more requests would have to be sent at [now] to reach [ratio]; 0 if too few arrived to tell. */
     fun missing(ratio: Double, now: Timestamp): Double {
         val arrivedLately = arrived.at(now, MEMORY)
         if (arrivedLately < MIN_ARRIVED) return 0.0
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
@@ -9,7 +9,8 @@
 
 /**
  * What was served of the requests for one service: by [kinds], and by account in [usualShares] and, as far as they had
- * to queue, in [fairShares]. [meanCost] is a moving average of the cost of a request in seconds of a slot.
+ * to queue, in [fairShares]. [meanCost] is a moving average of the cost of a request in seconds of a slot,
+ * [meanPromptTokens] of the prompts.
  */
 data class ServiceQueueRecord(
     val kinds: PersistentMap<RequestKind, KindRecord> = persistentMapOf(),
@@ -17,6 +18,7 @@
     val usualShares: UsualShares = UsualShares(),
     val meanCost: Double = 0.0,
     val responses: ResponseRecord = ResponseRecord(),
+    val meanPromptTokens: Double = 0.0,
 ) {
     /** The mean over the kinds of the ratio of requests that were sent lately. */
     fun meanServed(now: Timestamp): Double =
@@ -28,6 +30,12 @@
         return copy(kinds = if (updated.size > MAX_KINDS) updated.remove(updated.keys.first()) else updated)
     }
 
+    /** A copy with a request whose prompt has [promptTokens]. */
+    fun withPrompt(promptTokens: Int): ServiceQueueRecord {
+        val before = if (meanPromptTokens == 0.0) promptTokens.toDouble() else meanPromptTokens
+        return copy(meanPromptTokens = before + (promptTokens - before) * MEAN_WEIGHT)
+    }
+
     /** A copy with a response that ended at [now] after a slot was in use for [slotTime]. */
     fun withResponse(slotTime: Duration, now: Timestamp): ServiceQueueRecord {
         val cost = slotTime.toDouble(DurationUnit.SECONDS)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.dispatch.admission.AdmissionState
+import org.cicadaarch.dispatch.admission.TokenLoads
 import org.cicadaarch.dispatch.evacuation.Evacuations
 import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.PromptLocations
@@ -27,6 +28,7 @@
     val services: Map<ServiceName, ServiceLimits> = emptyMap(),
     val evacuations: Evacuations = Evacuations(),
     val admission: AdmissionState = AdmissionState(),
+    val tokenLoads: TokenLoads = TokenLoads(),
     private val queuedIds: PersistentSet<ExchangeId> = persistentHashSetOf(),
 ) {
     /** The requests that wait for a target. */
@@ -38,11 +40,15 @@
         val isQueued = open.phase is OpenRequest.Phase.Queued
         return copy(
             requests = requests.put(id, open),
+            tokenLoads = tokenLoads.replaced(before = requests[id], after = open),
             queuedIds = if (isQueued) queuedIds.add(id) else queuedIds.remove(id),
         )
     }
 
     /** A copy without request [id]. */
-    fun withoutRequest(id: ExchangeId): DispatchState =
-        copy(requests = requests.remove(id), queuedIds = queuedIds.remove(id))
+    fun withoutRequest(id: ExchangeId): DispatchState = copy(
+        requests = requests.remove(id),
+        tokenLoads = tokenLoads.replaced(before = requests[id], after = null),
+        queuedIds = queuedIds.remove(id),
+    )
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -4,6 +4,7 @@
 import org.cicadaarch.dispatch.admission.AdmissionControl
 import org.cicadaarch.dispatch.admission.QueueAccounting
 import org.cicadaarch.dispatch.admission.QueueScan
+import org.cicadaarch.dispatch.admission.TokenLimits
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
@@ -228,13 +229,16 @@
 
     private fun selectTarget(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
         val request = open.request
+        val limits = TokenLimits(state, request)
+        val targets = targetsOf(request.service)
         val criteria = SelectionCriteria(
             promptKey = request.promptKey,
             excluded = excluded,
             tieBreaker = request.id.value.hashCode(),
             promptDemand = state.observations.demand(request, now),
+            avoided = limits.busyReading(targets),
         )
-        val willing = targetsOf(request.service).filter { state.targetNotices.wantsRequests(it.entry, now) }
+        val willing = targets.filter { state.targetNotices.wantsRequests(it.entry, now) && limits.fits(it) }
         return selector.select(willing, criteria, now)
     }
 
@@ -249,6 +253,7 @@
                 attempts = attempt,
                 possibleRuns = open.possibleRuns + 1,
                 triedTargets = open.triedTargets + id,
+                unreadTokens = TokenLimits(state, open.request).unreadAt(id),
             ),
         )
         updateTarget(id) { it.withAttemptSent(now) }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/SelectionCriteria.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/SelectionCriteria.kt
@@ -6,7 +6,8 @@
  * What an attempt requires of its target.
  *
  * [promptKey] identifies the prompt that the target may have cached, if any; the fleet keeps [promptDemand] requests
- * with it running at once. Targets in [excluded] are not selected. [tieBreaker] spreads attempts over targets that are
+ * with it running at once. Targets in [excluded] are not selected, those in
+ * [avoided] only if no other one is below the load bound. [tieBreaker] spreads attempts over targets that are
  * otherwise equal.
  */
 data class SelectionCriteria(
@@ -14,4 +15,5 @@
     val excluded: Set<TargetId>,
     val tieBreaker: Int,
     val promptDemand: Double = 0.0,
+    val avoided: Set<TargetId> = emptySet(),
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -32,7 +32,7 @@
         val (evacuated, usable) = targets.partition { evacuations.contains(it.entry.zone) }
         val loads = ServiceLoads(eligible(usable, criteria, now), imbalanceFactor, now, unused = evacuated)
         if (criteria.promptKey == null) {
-            return leastLoaded(loads.targets, criteria, now)
+            return leastLoaded(loads, criteria, now)
                 ?.let { TargetSelection(it, it.load(now), it.reportedAt, loads.bound) }
         }
         return byPrompt(loads, criteria.promptKey, criteria)
@@ -83,6 +83,7 @@
         val free = loads.free()
         val usableBound = loads.bound * boundShare(criteria.tieBreaker)
         val belowBound = free.filter { loads.usual(it) + 1 <= usableBound }
+            .preferring { loads.targets[it].entry.id !in criteria.avoided }
         val nameOf = { index: Int -> loads.targets[index].entry.id.value }
         val homes = homes(loads, promptKey, criteria.promptDemand, nameOf).filter { it in belowBound }
         return homes.getOrNull(criteria.tieBreaker.mod(homes.size.coerceAtLeast(1)))
@@ -107,15 +108,21 @@
         return MIN_BOUND_SHARE + (MAX_BOUND_SHARE - MIN_BOUND_SHARE) * fraction
     }
 
-    private fun leastLoaded(targets: List<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetState? =
-        targets
+    private fun leastLoaded(loads: ServiceLoads, criteria: SelectionCriteria, now: Timestamp): TargetState? =
+        loads.targets
             .filter { it.load(now) + 1 <= it.entry.slots * QUEUE_FACTOR }
+            .preferring {
+                criteria.avoided.isEmpty() || (it.entry.id !in criteria.avoided && it.load(now) + 1 <= loads.bound)
+            }
             .minWithOrNull(
                 compareBy<TargetState> { (it.load(now) / it.entry.slots * LOAD_STEPS).toInt() }
                     .thenBy { it.entry.zone != zone }
                     .thenBy { (it.entry.id.value.hashCode() xor criteria.tieBreaker).mod(Int.MAX_VALUE) },
             )
 
+    /** The elements that are [preferred], or all if none is. */
+    private fun <T> List<T>.preferring(preferred: (T) -> Boolean): List<T> = filter(preferred).ifEmpty { this }
+
     private companion object {
         /** Range of the load bound in use, since reports are old and other routers act on them too. */
         const val MIN_BOUND_SHARE = 0.6
