--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
@@ -9,8 +9,8 @@
  *
  * [attempts] counts all attempts, [possibleRuns] only those that may have run. [triedTargets] are the targets of all
  * attempts. [hasResponseStarted] is set once the client has received part of the response. In the order of the queue,
- * the request counts as having arrived at [queuedFrom]. The target of the latest attempt had [unreadTokens] of the prompt
- * to read.
+ * the request counts as having arrived at [queuedFrom]. The target of the latest attempt had [unreadTokens] of the
+ * prompt to read.
  */
 data class OpenRequest(
     val request: DispatchRequest,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -8,6 +8,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import org.cicadaarch.dispatch.admission.QueueReport
 import org.cicadaarch.dispatch.request.DispatchSettings
 import org.cicadaarch.forwarding.client.ClientListener
 import org.cicadaarch.forwarding.exchange.ExchangeManager
@@ -209,6 +211,7 @@
         ) {
             exchanges.state.retryBudgets.entries.associate { (service, budget) -> service.value to budget.tokens }
         }
+        registerQueueGauges()
         metrics.registerGauge(
             name = "cicadaarch_store_revision",
             help = "The store's revision that is known, by prefix.",
@@ -239,6 +242,27 @@
         }
     }
 
+    private fun registerQueueGauges() {
+        metrics.registerGauge(
+            name = "cicadaarch_queued_requests",
+            help = "Requests that wait at this router for a target.",
+            label = "service",
+        ) {
+            QueueReport.lengths(exchanges.state).entries.associate { (service, length) ->
+                service.value to length.toDouble()
+            }
+        }
+        metrics.registerGauge(
+            name = "cicadaarch_queue_wait_seconds",
+            help = "Estimated wait of a new request; absent while targets have free slots or nothing is known.",
+            label = "service",
+        ) {
+            QueueReport.waits(exchanges.state, NanoTimeClock.now()).entries.associate { (service, estimate) ->
+                service.value to estimate.wait.toDouble(DurationUnit.SECONDS)
+            }
+        }
+    }
+
     private fun prefixWatchers(): Map<String, PrefixWatcher> = mapOf(
         fleetFormat.configurationPrefix to configurationWatcher,
         fleetFormat.targetPrefix to targetWatcher,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ExchangeContext.kt
@@ -5,6 +5,7 @@
 import org.cicadaarch.dispatch.request.DispatchEffect
 import org.cicadaarch.dispatch.request.DispatchEvent
 import org.cicadaarch.dispatch.request.DispatchRequest
+import org.cicadaarch.dispatch.request.RequestFailure
 import org.cicadaarch.dispatch.routing.ClientAccount
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.forwarding.NanoTimeClock
@@ -72,6 +73,25 @@
             "prompt" to dispatchRequest.promptKey
             "cacheSource" to send.cacheSource?.id
             "millisLeft" to send.timeLeft.inWholeMilliseconds
+            "queuedMillis" to if (send.attempt == 1) elapsedMillis() else null
+        }
+    }
+
+    /** Logs a refusal that was decided by the estimate of how long the request would wait, if it was. */
+    fun refused(failure: RequestFailure.NotRun) {
+        val estimate = failure.estimate ?: return
+        LogEvents.info("request-not-admitted") {
+            "request" to requestId
+            "service" to dispatchRequest.service
+            "account" to account?.id
+            "priority" to dispatchRequest.priority
+            "reason" to failure.reason
+            "waitMillis" to estimate.wait.inWholeMilliseconds
+            "ahead" to estimate.requestsAhead
+            "slotsInUse" to estimate.slotsInUse
+            "slotMillis" to estimate.slotTime.inWholeMilliseconds
+            "ageMillis" to estimate.age.inWholeMilliseconds
+            "retryAfterMillis" to failure.retryAfter.inWholeMilliseconds
         }
     }
 
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/exchange/ForwardingExchange.kt
@@ -92,6 +92,7 @@
             is RequestFailure.TimedOut -> HttpResponseStatus.GATEWAY_TIMEOUT
         }
         if (failure is RequestFailure.NotRun) {
+            context.refused(failure)
             headers.set(
                 HttpHeaderNames.RETRY_AFTER,
                 RetryAfterHeader.text(failure.retryAfter),
