--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -1,7 +1,10 @@
 package org.cicadaarch.dispatch.request
 
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.cicadaarch.dispatch.admission.AdmissionControl
+import org.cicadaarch.dispatch.admission.QueueAccounting
+import org.cicadaarch.dispatch.admission.QueueScan
+import org.cicadaarch.dispatch.admission.TokenLimits
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
@@ -44,7 +47,13 @@
         val before = state.retryBudgets[request.service] ?: RetryBudget(settings.retrySlack)
         val budget = before.withRequest(settings.retryRatio * RETRY_RATIO_FRACTION, capacity = settings.retrySlack)
         state = state.copy(retryBudgets = state.retryBudgets.put(request.service, budget))
-        sendOrQueue(OpenRequest(request = request, arrivedAt = now, phase = Queued(now)))
+        val queuedFrom = state.admission.queuedFrom(request, now)
+        state = state.copy(admission = state.admission.withArrival(request, now))
+        putRequest(OpenRequest(request, arrivedAt = now, phase = Queued(now), queuedFrom = queuedFrom))
+        sendQueued()
+        state.requests[request.id]?.let { open ->
+            AdmissionControl(state, now).refusalAtOnce(open)?.let { fail(open, it) }
+        }
     }
 
     fun responseStarted(id: ExchangeId, attempt: Int) {
@@ -62,6 +71,7 @@
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
         updateTarget(inFlight) { withResult(it.withAttemptEnded(), result) }
         state = state.copy(observations = state.observations.withResult(open.request, inFlight, result, now))
+        state = state.copy(admission = state.admission.withResult(open.request.service, inFlight, result, now))
         when (result) {
             is AttemptResult.Answered -> if (open.hasResponseStarted && !result.isDelivered) {
                 attemptBroken(open, "not-resumed")
@@ -119,7 +129,7 @@
     fun tick() {
         state.requests.values.filter { RequestTimers.nextTimeout(it) <= now }.forEach { open ->
             when (val phase = open.phase) {
-                is Queued -> refuse(open, "no-free-target")
+                is Queued -> fail(open, AdmissionControl(state, now).timedOut(open))
                 is InFlight -> inFlightTimedOut(open, phase)
             }
         }
@@ -209,19 +219,26 @@
     }
 
     private fun sendQueued() {
-        val queued = state.requests.values.filter { it.phase is Queued }
-        queued.sortedWith(compareBy({ it.request.priority }, { it.arrivedAt })).forEach { sendOrQueue(it) }
+        val scan = QueueScan(now)
+        while (true) {
+            val open = scan.next(state) ?: return
+            sendOrQueue(open)
+            scan.tried(open, state)
+        }
     }
 
     private fun selectTarget(open: OpenRequest, excluded: Set<TargetId>): TargetSelection? {
         val request = open.request
+        val limits = TokenLimits(state, request)
+        val targets = targetsOf(request.service)
         val criteria = SelectionCriteria(
             promptKey = request.promptKey,
             excluded = excluded,
             tieBreaker = request.id.value.hashCode(),
             promptDemand = state.observations.demand(request, now),
+            avoided = limits.busyReading(targets),
         )
-        val willing = targetsOf(request.service).filter { state.targetNotices.wantsRequests(it.entry, now) }
+        val willing = targets.filter { state.targetNotices.wantsRequests(it.entry, now) && limits.fits(it) }
         return selector.select(willing, criteria, now, WarmUpChanges.rules(state, settings, request.service, now))
     }
 
@@ -229,12 +246,14 @@
         val target = selection.target
         val id = target.entry.id
         val attempt = open.attempts + 1
+        if (attempt == 1) state = state.copy(admission = QueueAccounting.sent(state, open.request, now))
         putRequest(
             open.copy(
                 phase = InFlight(target.entry, sentAt = now),
                 attempts = attempt,
                 possibleRuns = open.possibleRuns + 1,
                 triedTargets = open.triedTargets + id,
+                unreadTokens = TokenLimits(state, open.request).unreadAt(id),
             ),
         )
         updateTarget(id) { WarmUpChanges.sent(it.withAttemptSent(now), now) }
@@ -274,9 +293,10 @@
     }
 
     private fun refuse(open: OpenRequest, reason: String) =
-        fail(open, RequestFailure.NotRun(reason, retryAfter = RETRY_AFTER))
+        fail(open, RequestFailure.NotRun(reason, retryAfter = AdmissionControl.MIN_RETRY_AFTER))
 
     private fun fail(open: OpenRequest, failure: RequestFailure) {
+        state = state.copy(admission = state.admission.withFailure(open, failure, now))
         effects += DispatchEffect.Fail(open.request.id, failure)
         removeRequest(open.request.id)
     }
@@ -321,11 +341,11 @@
     }
 
     private fun putRequest(open: OpenRequest) {
-        state = state.copy(requests = state.requests.put(open.request.id, open))
+        state = state.withRequest(open)
     }
 
     private fun removeRequest(id: ExchangeId) {
-        state = state.copy(requests = state.requests.remove(id))
+        state = state.withoutRequest(id)
     }
 
     private companion object {
@@ -334,8 +354,6 @@
         /** Fraction of the retry ratio in use, as the fleet's request count differs slightly from this router's. */
         const val RETRY_RATIO_FRACTION = 0.9
 
-        val RETRY_AFTER = 150.milliseconds
-
         /** Reason of a refusal because all targets want no requests for some time. */
         const val BACKING_OFF = "targets-back-off"
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/OpenRequest.kt
@@ -8,7 +8,9 @@
  * A request that has not ended.
  *
  * [attempts] counts all attempts, [possibleRuns] only those that may have run. [triedTargets] are the targets of all
- * attempts. [hasResponseStarted] is set once the client has received part of the response.
+ * attempts. [hasResponseStarted] is set once the client has received part of the response. In the order of the queue,
+ * the request counts as having arrived at [queuedFrom]. The target of the latest attempt had [unreadTokens] of the
+ * prompt to read.
  */
 data class OpenRequest(
     val request: DispatchRequest,
@@ -18,6 +20,8 @@
     val possibleRuns: Int = 0,
     val triedTargets: Set<TargetId> = emptySet(),
     val hasResponseStarted: Boolean = false,
+    val queuedFrom: Timestamp = arrivedAt,
+    val unreadTokens: Int = 0,
 ) {
     /** When the time allowed for the request is over. */
     val deadline: Timestamp = arrivedAt + request.timeAllowed
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -62,7 +62,7 @@
         val key = criteria.promptKey ?: criteria.tieBreaker.toString()
         val mayServe = warmUpRules?.servesAmong(candidates, key) ?: { true }
         if (criteria.promptKey == null) {
-            return leastLoaded(loads.targets, criteria, now, mayServe)
+            return leastLoaded(loads, criteria, now, mayServe)
                 ?.let { TargetSelection(it, it.load(now), it.reportedAt, loads.bound) }
         }
         return byPrompt(loads, criteria.promptKey, criteria, mayServe)
@@ -80,8 +80,8 @@
         warmUpRules: WarmUpRules,
     ): TargetSelection? {
         val usable = warming.filter { it.load(now) + 1 <= it.entry.slots && warmUpRules.mayUseWarming(it) }
-        val selected = leastLoaded(usable, criteria, now) ?: return null
         val bound = ServiceLoads(warming, imbalanceFactor, now).bound
+        val selected = leastLoaded(usable, bound, criteria, now) ?: return null
         return TargetSelection(
             selected,
             selected.load(now),
@@ -145,6 +145,7 @@
         val free = loads.free()
         val usableBound = loads.bound * boundShare(criteria.tieBreaker)
         val belowBound = free.filter { loads.usual(it) + 1 <= usableBound }
+            .preferring { loads.targets[it].entry.id !in criteria.avoided }
         val nameOf = { index: Int -> loads.targets[index].entry.id.value }
         val serving = belowBound.filter { mayServe(loads.targets[it]) }
         val homes = homes(loads, promptKey, criteria.promptDemand, nameOf, mayServe).filter { it in serving }
@@ -180,25 +181,36 @@
 
     /** The least loaded of the targets that may serve the attempt, if one of them has a free slot, else of all. */
     private fun leastLoaded(
-        targets: List<TargetState>,
+        loads: ServiceLoads,
         criteria: SelectionCriteria,
         now: Timestamp,
         mayServe: (TargetState) -> Boolean,
     ): TargetState? {
+        val targets = loads.targets
         val serving = targets.filter(mayServe)
         val free = if (serving.size < targets.size) serving.filter { it.load(now) + 1 <= it.entry.slots } else serving
-        return leastLoaded(free, criteria, now) ?: leastLoaded(targets, criteria, now)
+        return leastLoaded(free, loads.bound, criteria, now) ?: leastLoaded(targets, loads.bound, criteria, now)
     }
 
-    private fun leastLoaded(targets: List<TargetState>, criteria: SelectionCriteria, now: Timestamp): TargetState? =
-        targets
+    private fun leastLoaded(
+        targets: List<TargetState>,
+        loadBound: Double,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+    ): TargetState? = targets
             .filter { it.load(now) + 1 <= it.entry.slots * QUEUE_FACTOR }
+            .preferring {
+                criteria.avoided.isEmpty() || (it.entry.id !in criteria.avoided && it.load(now) + 1 <= loadBound)
+            }
             .minWithOrNull(
                 compareBy<TargetState> { (it.load(now) / it.entry.slots * LOAD_STEPS).toInt() }
                     .thenBy { it.entry.zone != zone }
                     .thenBy { (it.entry.id.value.hashCode() xor criteria.tieBreaker).mod(Int.MAX_VALUE) },
             )
 
+    /** The elements that are [preferred], or all if none is. */
+    private fun <T> List<T>.preferring(preferred: (T) -> Boolean): List<T> = filter(preferred).ifEmpty { this }
+
     private companion object {
         /** Range of the load bound in use, since reports are old and other routers act on them too. */
         const val MIN_BOUND_SHARE = 0.6
