Take the median of three groups of routers for the speed of a target

Cause: a router that reports nonsense of one target had it limited for good: once it got only probes, the false samples outnumbered the true ones. And each watching router told the others the sums of all targets.

Change: sums are kept by a hash of the reporting router in three groups, and the median of their means counts. Of services with over 16 targets, a firsthand summary lists only deviating or limited ones, and the mean of the others.

--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/CapacityEstimate.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/CapacityEstimate.kt
@@ -64,7 +64,7 @@
         private val MEMORY = 20.seconds
 
         /** A target that is slow at a lower share has not been trusted with more yet. */
-        private const val RELAPSE_SHARE = 0.4
+        private const val RELAPSE_SHARE = 0.6
 
         /** The estimate of a target that has become slow. */
         fun slow(relativeTime: Double, now: Timestamp) = CapacityEstimate(
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/RelativeTimes.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/RelativeTimes.kt
@@ -21,6 +21,9 @@
     /** The same mean with at most [maximum] samples. */
     fun limitedTo(maximum: Double): RelativeTimes = if (samples > maximum) times(maximum / samples) else this
 
+    /** One of [count] equal parts. */
+    fun dividedBy(count: Int): RelativeTimes = times(1.0 / count)
+
     private fun times(factor: Double) = RelativeTimes(samples * factor, total * factor)
 
     companion object {
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationSummary.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/ObservationSummary.kt
@@ -12,14 +12,16 @@
  * [demands] lists the prompts that keep more than a few requests running at once, with their number. [heavyLoads] lists
  * the targets whose load is far above the mean of their service, each with the age of its own report; [typicalLoads]
  * is the mean load of the others, by service. [times] are the response times of targets that can be added up, in
- * firsthand summaries only; [capacities] those of slow targets, in summaries of the fleet only.
+ * firsthand summaries only; [typicalTimes] those of each target that is not listed, by service. [capacities] are those
+ * of slow targets, in summaries of the fleet only.
  */
 data class ObservationSummary(
     val age: Duration = Duration.ZERO,
     val demands: Map<PromptId, Double> = emptyMap(),
     val typicalLoads: Map<ServiceName, Double> = emptyMap(),
     val heavyLoads: Map<TargetId, AgedLoad> = emptyMap(),
-    val times: Map<TargetId, RelativeTimes> = emptyMap(),
+    val times: Map<TimesKey, RelativeTimes> = emptyMap(),
+    val typicalTimes: Map<ServiceName, RelativeTimes> = emptyMap(),
     val capacities: Map<TargetId, TargetCapacity> = emptyMap(),
 ) {
     /** The same summary after [time] has passed. */
@@ -27,5 +29,6 @@
         age = age + time,
         heavyLoads = heavyLoads.mapValues { it.value.aged(time) },
         times = times.mapValues { it.value.aged(time) },
+        typicalTimes = typicalTimes.mapValues { it.value.aged(time) },
     )
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/SharedObservations.kt
@@ -23,18 +23,18 @@
     private val imbalanceFactor: Double,
     private val demands: PromptDemands = PromptDemands(),
     private val loads: PersistentMap<TargetId, DatedLoad> = persistentHashMapOf(),
-    private val times: PersistentMap<TargetId, DecayingTimes> = persistentHashMapOf(),
+    private val times: PersistentMap<TimesKey, DecayingTimes> = persistentHashMapOf(),
     private val estimates: CapacityEstimates = CapacityEstimates(),
     private val received: PersistentMap<RouterAddress, Received> = persistentHashMapOf(),
 ) {
-    /** A copy with [report] of a router. */
-    fun withReport(report: ObservationReport, now: Timestamp): SharedObservations {
+    /** A copy with [report] of [reporter], null if it is not known. */
+    fun withReport(report: ObservationReport, now: Timestamp, reporter: RouterAddress? = null): SharedObservations {
         val updated = loads.builder()
         report.loads.forEach { (target, load) -> updated[target] = load.dated(now).newest(updated[target]) }
         return copy(
             demands = demands.plus(report.work, now),
             loads = updated.build(),
-            times = TimeSums.added(times, report.times, now),
+            times = TimeSums.added(times, report.times, reporter, now),
         )
     }
 
@@ -47,7 +47,7 @@
 
     /** A copy with new estimates of the capacities of [targets]. */
     fun withEstimates(targets: Collection<TargetEntry>, now: Timestamp): SharedObservations {
-        val current = TimeSums.merged(times, received.values, now)
+        val current = TimeSums.merged(times, received.values, targets, now)
         val updated = targets.groupBy { it.service }.values.fold(estimates) { before, entries ->
             before.updated(entries.associate { it.id to (current[it.id] ?: RelativeTimes()) }, now)
         }
@@ -75,15 +75,20 @@
         val services = targets.groupBy { it.service }.mapNotNull { (service, entries) ->
             loadSummary(service, entries.mapNotNull { newestLoads[it.id]?.let { load -> it.id to load } }.toMap())
         }
+        val ownTimes = if (scope == ObservationScope.FIRSTHAND) firsthandTimes(targets, now) else FirsthandTimes()
         return ObservationSummary(
             demands = demands(scope, summaries, now),
             typicalLoads = services.associate { it.service to it.typical },
             heavyLoads = services.flatMap { it.heavy.entries }.associate { it.key to it.value.aged(now) },
-            times = if (scope == ObservationScope.FIRSTHAND) times.mapValues { it.value.at(now) } else emptyMap(),
+            times = ownTimes.listed,
+            typicalTimes = ownTimes.typical,
             capacities = if (scope == ObservationScope.FLEET) capacities else emptyMap(),
         )
     }
 
+    private fun firsthandTimes(targets: Collection<TargetEntry>, now: Timestamp): FirsthandTimes =
+        FirsthandTimes.of(times.mapValues { it.value.at(now) }, targets, capacities.keys)
+
     private fun newestLoads(summaries: Collection<Received>, now: Timestamp): Map<TargetId, DatedLoad> {
         val newest = HashMap(loads)
         summaries.forEach { (summary, at) ->
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
@@ -18,6 +18,7 @@
  * once.
  */
 internal class ObservationAggregator(
+    private val self: RouterAddress,
     private val dispatch: ObservedDispatch,
     private val scheduler: TaskScheduler,
     imbalanceFactor: Double,
@@ -52,11 +53,11 @@
     }
 
     /**
-     * Adds a [report] of another router, unless this one was paused until now: then the report may have waited for as
-     * long, which its ages do not tell.
+     * Adds a [report] of the router [reporter], unless this one was paused until now: then the report may have waited
+     * for as long, which its ages do not tell.
      */
-    fun receive(report: ObservationReport) {
-        if (isActive && !wasPaused()) shared = shared.withReport(report, scheduler.now())
+    fun receive(report: ObservationReport, reporter: RouterAddress?) {
+        if (isActive && !wasPaused()) shared = shared.withReport(report, scheduler.now(), reporter)
     }
 
     /** Adds the firsthand [summary] of [router], which merges observations too. */
@@ -80,7 +81,7 @@
 
     private fun tick() {
         val now = scheduler.now()
-        shared = shared.withReport(dispatch.takeReport(), now).pruned(now)
+        shared = shared.withReport(dispatch.takeReport(), now, self).pruned(now)
         val targets = dispatch.targetEntries
         shared = shared.withEstimates(targets, now)
         ObservationScope.entries.forEach { summaries[it] = shared.summary(it, targets, now) }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerServer.kt
@@ -10,6 +10,7 @@
 import org.cicadaarch.forwarding.http.EndpointRequest
 import org.cicadaarch.forwarding.http.HttpReply
 import org.cicadaarch.logging.LogEvents
+import org.cicadaarch.model.RouterAddress
 import org.cicadaarch.model.Timestamp
 import org.cicadaarch.store.UntrustedJson
 
@@ -45,10 +46,9 @@
         val query = QueryStringDecoder(request.uri)
         if (query.path() != PeerQuery.PATH) return respond(HttpReply(HttpResponseStatus.NOT_FOUND))
         val parameters = query.parameters().mapValues { it.value.first() }
-        parameters[PeerQuery.FROM]
-            ?.let { PeerQuery.parseAddress(it) }
-            ?.let { directory.recordContact(it, scheduler.now()) }
-        if (request.body.isNotEmpty()) readReport(request.body)
+        val sender = parameters[PeerQuery.FROM]?.let { PeerQuery.parseAddress(it) }
+        sender?.let { directory.recordContact(it, scheduler.now()) }
+        if (request.body.isNotEmpty()) readReport(request.body, sender)
         val scope = parameters[PeerQuery.OBSERVATIONS]?.let { name ->
             ObservationScope.entries.find { it.name == name }
         }
@@ -107,11 +107,11 @@
         )
     }
 
-    private fun readReport(body: String) = UntrustedJson.decode(body) {
+    private fun readReport(body: String, reporter: RouterAddress?) = UntrustedJson.decode(body) {
         PeerJson.decodeFromString<ReportMessage>(it)
     }.fold(
         ifLeft = { error -> LogEvents.warn("peer-report-unreadable") { "error" to error } },
-        ifRight = { aggregator.receive(it.toReport()) },
+        ifRight = { aggregator.receive(it.toReport(), reporter) },
     )
 
     private fun livePeerAddresses(): List<String> {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/PeerSync.kt
@@ -43,7 +43,7 @@
 ) {
     private val directory = PeerDirectory(self, seeds, bound)
     private val client = PeerClient(self, transport, scheduler)
-    private val aggregator = ObservationAggregator(dispatch, scheduler, imbalanceFactor)
+    private val aggregator = ObservationAggregator(self, dispatch, scheduler, imbalanceFactor)
     private val server = PeerServer(scheduler, directory, prefixWatchers, aggregator)
     private val aggregatorExchange = AggregatorExchange(
         scheduler = scheduler,
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/SummaryMessage.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/SummaryMessage.kt
@@ -4,8 +4,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.cicadaarch.dispatch.capacity.RelativeTimes
 import org.cicadaarch.dispatch.observation.ObservationSummary
 import org.cicadaarch.dispatch.observation.PromptId
+import org.cicadaarch.dispatch.observation.TimesKey
 import org.cicadaarch.model.ServiceName
 import org.cicadaarch.model.TargetId
 
@@ -18,7 +20,8 @@
     val demands: Map<String, Long> = emptyMap(),
     @SerialName("typical") val typicalLoads: Map<String, Long> = emptyMap(),
     @SerialName("heavy") val heavyLoads: Map<String, LoadMessage> = emptyMap(),
-    val times: Map<String, TimesMessage> = emptyMap(),
+    val times: Map<String, List<TimesMessage>> = emptyMap(),
+    val typicalTimes: Map<String, TimesMessage> = emptyMap(),
     val capacities: Map<String, CapacityMessage> = emptyMap(),
 ) {
     /** Converts the message to the form that the dispatch module uses. */
@@ -29,7 +32,14 @@
             .toMap(),
         typicalLoads = typicalLoads.entries.associate { (service, load) -> ServiceName(service) to requests(load) },
         heavyLoads = heavyLoads.entries.associate { (target, load) -> TargetId(target) to load.toLoad() },
-        times = times.entries.associate { (target, times) -> TargetId(target) to times.toTimes(MAX_SAMPLES) },
+        times = times.flatMap { (target, groups) ->
+            groups.take(TimesKey.GROUPS).mapIndexed { group, times ->
+                TimesKey(TargetId(target), group) to times.toTimes(MAX_SAMPLES)
+            }
+        }.toMap(),
+        typicalTimes = typicalTimes.entries.associate { (service, times) ->
+            ServiceName(service) to times.toTimes(MAX_SAMPLES)
+        },
         capacities = capacities.entries.associate { (target, capacity) ->
             TargetId(target) to capacity.toCapacity()
         },
@@ -51,12 +61,20 @@
             heavyLoads = summary.heavyLoads.entries.associate { (target, load) ->
                 target.value to LoadMessage.of(load)
             },
-            times = summary.times.entries.associate { (target, times) -> target.value to TimesMessage.of(times) },
+            times = summary.times.keys.map { it.target }.distinct().associate { target ->
+                target.value to timesByGroup(summary, target)
+            },
+            typicalTimes = summary.typicalTimes.entries.associate { (service, times) ->
+                service.value to TimesMessage.of(times)
+            },
             capacities = summary.capacities.entries.associate { (target, capacity) ->
                 target.value to CapacityMessage.of(capacity)
             },
         )
 
+        private fun timesByGroup(summary: ObservationSummary, target: TargetId): List<TimesMessage> =
+            List(TimesKey.GROUPS) { TimesMessage.of(summary.times[TimesKey(target, it)] ?: RelativeTimes()) }
+
         private fun hundredths(requests: Double): Long = (requests * HUNDREDTHS).roundToLong()
 
         private fun requests(hundredths: Long): Double = hundredths.coerceIn(0, MAX_HUNDREDTHS) / HUNDREDTHS
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/TimesMessage.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/TimesMessage.kt
@@ -9,7 +9,7 @@
  * The wire form of [RelativeTimes], in hundredths, as of the time of the message.
  */
 @Serializable
-internal data class TimesMessage(@SerialName("n") val samples: Long, @SerialName("t") val total: Long) {
+internal data class TimesMessage(@SerialName("n") val samples: Long = 0, @SerialName("t") val total: Long = 0) {
     /** Converts the message to the form that the dispatch module uses. */
     fun toTimes(maxSamples: Double): RelativeTimes =
         RelativeTimes.ofStated(samples / HUNDREDTHS, total / HUNDREDTHS, maxSamples)
--- a/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/TargetCapacityTest.kt
+++ b/cicadaarch-forwarding/src/test/kotlin/org/cicadaarch/forwarding/simulation/TargetCapacityTest.kt
@@ -73,6 +73,20 @@
         assertTrue(share * rate <= handled, "it gets ${share * rate} a second and handles $handled")
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [8, 22, 45, 67, 95, 126])
+    fun `Given a router that reports nonsense of a target, when requests come, then the target keeps its share`(
+        routers: Int,
+    ) {
+        val honest = simulation(routers)
+        honest.runUntil(20.seconds)
+        val lying = simulation(routers, liesAbout = TargetId("target-$TARGET"))
+        lying.runUntil(20.seconds)
+        val usual = honest.share(TARGET, START, 20.seconds)
+        val share = lying.share(TARGET, START, 20.seconds)
+        assertTrue(share > usual * 2 / 3, "its share is $share in place of $usual")
+    }
+
     private fun assertKeepsShare(simulation: PlainServiceSimulation, target: Int, start: Duration) {
         val before = simulation.share(target, 3.seconds, START)
         val after = simulation.share(target, start, 40.seconds)
