--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.cicadaarch.dispatch.admission.AdmissionState
 import org.cicadaarch.dispatch.admission.TokenLoads
+import org.cicadaarch.dispatch.capacity.TargetCapacities
 import org.cicadaarch.dispatch.evacuation.Evacuations
 import org.cicadaarch.dispatch.routing.ServiceLimits
 import org.cicadaarch.dispatch.target.PromptLocations
@@ -28,6 +29,7 @@
     val observations: RequestObservations = RequestObservations(),
     val services: Map<ServiceName, ServiceLimits> = emptyMap(),
     val evacuations: Evacuations = Evacuations(),
+    val capacities: TargetCapacities = TargetCapacities(),
     val routerSeed: Long = 0,
     val admission: AdmissionState = AdmissionState(),
     val tokenLoads: TokenLoads = TokenLoads(),
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -5,12 +5,14 @@
 import org.cicadaarch.dispatch.admission.QueueAccounting
 import org.cicadaarch.dispatch.admission.QueueScan
 import org.cicadaarch.dispatch.admission.TokenLimits
+import org.cicadaarch.dispatch.capacity.CapacityFilter
 import org.cicadaarch.dispatch.observation.DatedLoad
 import org.cicadaarch.dispatch.observation.LocalObservations
 import org.cicadaarch.dispatch.quarantine.QuarantineRule
 import org.cicadaarch.dispatch.quarantine.TrialSchedule
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.InFlight
 import org.cicadaarch.dispatch.request.OpenRequest.Phase.Queued
+import org.cicadaarch.dispatch.routing.RetryPolicy
 import org.cicadaarch.dispatch.target.LoadReport
 import org.cicadaarch.dispatch.target.SelectionCriteria
 import org.cicadaarch.dispatch.target.TargetEntry
@@ -33,7 +35,12 @@
 ) {
     private val effects = mutableListOf<DispatchEffect>()
     private val selector: TargetSelector
-        get() = TargetSelector(settings.zone, settings.imbalanceFactor, state.evacuations)
+        get() = TargetSelector(
+            zone = settings.zone,
+            imbalanceFactor = settings.imbalanceFactor,
+            evacuations = state.evacuations,
+            capacityFilter = CapacityFilter(state.capacities.limited(now)),
+        )
 
     fun step(): Step<DispatchState, DispatchEffect> = Step(state, effects)
 
@@ -58,6 +65,7 @@
 
     fun responseStarted(id: ExchangeId, attempt: Int) {
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
+        state = CapacityObservations.responseStarted(state, open, inFlight, now)
         putRequest(open.copy(hasResponseStarted = true))
         updateTarget(inFlight.target) { it.withDataReceived(now) }
     }
@@ -70,6 +78,7 @@
     fun attemptEnded(id: ExchangeId, attempt: Int, result: AttemptResult) {
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
         updateTarget(inFlight) { withResult(it.withAttemptEnded(), result) }
+        state = CapacityObservations.attemptEnded(state, open, inFlight, result, now)
         state = state.copy(observations = state.observations.withResult(open.request, inFlight, result, now))
         state = state.copy(admission = state.admission.withResult(open.request.service, inFlight, result, now))
         when (result) {
@@ -95,6 +104,7 @@
 
     fun loadReported(target: TargetId, load: LoadReport) {
         updateTarget(target) { it.withLoadReport(load, now) }
+        state = CapacityObservations.loadReported(state, target, load, now)
         val unreported = state.observations.unreported.withLoad(target, DatedLoad(load.total, at = now))
         state = state.copy(observations = state.observations.copy(unreported = unreported))
         sendQueued()
@@ -237,6 +247,7 @@
             tieBreaker = request.id.value.hashCode(),
             promptDemand = state.observations.demand(request, now),
             avoided = limits.busyReading(targets),
+            mayBeRepeated = request.route.retryPolicy != RetryPolicy.AT_MOST_ONCE,
         )
         val willing = targets.filter { state.targetNotices.wantsRequests(it.entry, now) && limits.fits(it) }
         return selector.select(willing, criteria, now, WarmUpChanges.rules(state, settings, request.service, now))
@@ -249,7 +260,7 @@
         if (attempt == 1) state = state.copy(admission = QueueAccounting.sent(state, open.request, now))
         putRequest(
             open.copy(
-                phase = InFlight(target.entry, sentAt = now),
+                phase = InFlight(target.entry, sentAt = now, uncachedTokens = uncachedTokens(open.request, id)),
                 attempts = attempt,
                 possibleRuns = open.possibleRuns + 1,
                 triedTargets = open.triedTargets + id,
@@ -273,6 +284,11 @@
         )
     }
 
+    private fun uncachedTokens(request: DispatchRequest, target: TargetId): Int {
+        val isCached = request.promptKey?.let { state.promptLocations.lastTarget(it) } == target
+        return if (isCached) 0 else request.work?.promptTokens ?: 0
+    }
+
     /** Records that the prompt goes to [selected] and returns the target from which its cache may be copied. */
     private fun recordPromptSent(service: ServiceName, promptKey: String, selected: TargetId): TargetEntry? {
         val lastTarget = state.promptLocations.lastTarget(promptKey)
@@ -288,6 +304,7 @@
 
     private fun cancelAttempt(open: OpenRequest) {
         val inFlight = open.phase as? InFlight ?: return
+        state = CapacityObservations.attemptCancelled(state, open, inFlight, now)
         updateTarget(inFlight) { it.withAttemptEnded() }
         effects += DispatchEffect.Cancel(open.request.id, open.attempts)
     }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestObservations.kt
@@ -26,6 +26,9 @@
     /** The usual time that targets need for a request on [route], or null if none has ended yet. */
     fun knownRunTime(route: Route): Duration? = runTimes.known(route)
 
+    /** How long [request] usually runs. */
+    fun usualRunTime(request: DispatchRequest): Duration = runTimes.usual(request.route)
+
     /** A copy that counts an attempt for [request]. */
     fun withSent(request: DispatchRequest): RequestObservations {
         val prompt = promptOf(request) ?: return this
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/SelectionCriteria.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/SelectionCriteria.kt
@@ -8,7 +8,7 @@
  * [promptKey] identifies the prompt that the target may have cached, if any; the fleet keeps [promptDemand] requests
  * with it running at once. Targets in [excluded] are not selected, those in
  * [avoided] only if no other one is below the load bound. [tieBreaker] spreads attempts over targets that are
- * otherwise equal.
+ * otherwise equal. With [mayBeRepeated], the request may run more than once.
  */
 data class SelectionCriteria(
     val promptKey: String?,
@@ -16,4 +16,5 @@
     val tieBreaker: Int,
     val promptDemand: Double = 0.0,
     val avoided: Set<TargetId> = emptySet(),
+    val mayBeRepeated: Boolean = false,
 )
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/target/TargetSelector.kt
@@ -1,6 +1,7 @@
 package org.cicadaarch.dispatch.target
 
 import kotlin.math.ceil
+import org.cicadaarch.dispatch.capacity.CapacityFilter
 import org.cicadaarch.dispatch.evacuation.Evacuations
 import org.cicadaarch.dispatch.warmup.WarmUpRules
 import org.cicadaarch.model.TargetId
@@ -24,11 +25,13 @@
  * Targets in zones of [evacuations] are never selected. They count in the mean load, which the load bound follows.
  * Targets that warm up count alike, and are selected only if no other one has room. After that, a target serves a
  * growing share of the prompts, unless the others are over the bound.
+ * Targets with a limited capacity get the attempts that [capacityFilter] leaves them, and others if all else is full.
  */
 class TargetSelector(
     private val zone: ZoneName,
     private val imbalanceFactor: Double,
     private val evacuations: Evacuations = Evacuations(),
+    private val capacityFilter: CapacityFilter = CapacityFilter(emptyMap()),
 ) {
     /**
      * Selects one of [targets] for an attempt with [criteria]; null if all eligible ones are full. [warmUpRules] are
@@ -44,11 +47,31 @@
         val (warming, others) = usable.partition { warmUpRules?.isWarmingUp(it) == true }
         val unused = evacuated + warming
         if (warmUpRules == null || warming.isEmpty()) {
-            return selectAmong(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
+            return selectCapable(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
         }
-        return selectAmong(healthy(others, criteria, now), criteria, now, unused, warmUpRules)
+        return selectCapable(healthy(others, criteria, now), criteria, now, unused, warmUpRules)
             ?: selectWarming(healthy(warming, criteria, now), criteria, now, warmUpRules)
-            ?: selectAmong(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
+            ?: selectCapable(eligible(others, criteria, now), criteria, now, unused, warmUpRules)
+    }
+
+    /** Selects one of [candidates] that their capacity does not withhold, if one of them has room, else of all. */
+    private fun selectCapable(
+        candidates: List<TargetState>,
+        criteria: SelectionCriteria,
+        now: Timestamp,
+        unused: List<TargetState>,
+        warmUpRules: WarmUpRules?,
+    ): TargetSelection? {
+        val withheld = capacityFilter.withheld(
+            candidates = candidates.map { it.entry.id },
+            promptKey = criteria.promptKey,
+            mayBeRepeated = criteria.mayBeRepeated,
+            tieBreaker = criteria.tieBreaker,
+        )
+        if (withheld.isEmpty()) return selectAmong(candidates, criteria, now, unused, warmUpRules)
+        val (limited, others) = candidates.partition { it.entry.id in withheld }
+        return selectAmong(others, criteria, now, unused + limited, warmUpRules)
+            ?: selectAmong(candidates, criteria, now, unused, warmUpRules)
     }
 
     private fun selectAmong(
@@ -198,15 +221,15 @@
         criteria: SelectionCriteria,
         now: Timestamp,
     ): TargetState? = targets
-            .filter { it.load(now) + 1 <= it.entry.slots * QUEUE_FACTOR }
-            .preferring {
-                criteria.avoided.isEmpty() || (it.entry.id !in criteria.avoided && it.load(now) + 1 <= loadBound)
-            }
-            .minWithOrNull(
-                compareBy<TargetState> { (it.load(now) / it.entry.slots * LOAD_STEPS).toInt() }
-                    .thenBy { it.entry.zone != zone }
-                    .thenBy { (it.entry.id.value.hashCode() xor criteria.tieBreaker).mod(Int.MAX_VALUE) },
-            )
+        .filter { it.load(now) + 1 <= it.entry.slots * QUEUE_FACTOR }
+        .preferring {
+            criteria.avoided.isEmpty() || (it.entry.id !in criteria.avoided && it.load(now) + 1 <= loadBound)
+        }
+        .minWithOrNull(
+            compareBy<TargetState> { (it.load(now) / it.entry.slots * LOAD_STEPS).toInt() }
+                .thenBy { it.entry.zone != zone }
+                .thenBy { (it.entry.id.value.hashCode() xor criteria.tieBreaker).mod(Int.MAX_VALUE) },
+        )
 
     /** The elements that are [preferred], or all if none is. */
     private fun <T> List<T>.preferring(preferred: (T) -> Boolean): List<T> = filter(preferred).ifEmpty { this }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/ObservationAggregator.kt
@@ -18,6 +18,7 @@
  * once.
  */
 internal class ObservationAggregator(
+    private val self: RouterAddress,
     private val dispatch: ObservedDispatch,
     private val scheduler: TaskScheduler,
     imbalanceFactor: Double,
@@ -30,6 +31,7 @@
         ObservationScope.FIRSTHAND to DemandLevels(minimum = FIRSTHAND_RISE),
         ObservationScope.FLEET to DemandLevels(minimum = FLEET_RISE),
     )
+    private val capacityLog = CapacityLog()
     private var tickedAt = Timestamp(0)
     private var cancelTick: (() -> Unit)? = null
     var onRise: (ObservationScope) -> Unit = {}
@@ -51,11 +53,11 @@
     }
 
     /**
-     * Adds a [report] of another router, unless this one was paused until now: then the report may have waited for as
-     * long, which its ages do not tell.
+     * Adds a [report] of the router [reporter], unless this one was paused until now: then the report may have waited
+     * for as long, which its ages do not tell.
      */
-    fun receive(report: ObservationReport) {
-        if (isActive && !wasPaused()) shared = shared.withReport(report, scheduler.now())
+    fun receive(report: ObservationReport, reporter: RouterAddress?) {
+        if (isActive && !wasPaused()) shared = shared.withReport(report, scheduler.now(), reporter)
     }
 
     /** Adds the firsthand [summary] of [router], which merges observations too. */
@@ -79,10 +81,12 @@
 
     private fun tick() {
         val now = scheduler.now()
-        shared = shared.withReport(dispatch.takeReport(), now).pruned(now)
+        shared = shared.withReport(dispatch.takeReport(), now, self).pruned(now)
         val targets = dispatch.targetEntries
+        shared = shared.withEstimates(targets, now)
         ObservationScope.entries.forEach { summaries[it] = shared.summary(it, targets, now) }
         summariesMadeAt = now
+        capacityLog.update(shared.capacities)
         dispatch.apply(summaries.getValue(ObservationScope.FLEET))
         levels.forEach { (scope, level) ->
             if (level.haveRisen(summaries.getValue(scope).demands)) {
