--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/quarantine/QuarantineManager.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/quarantine/QuarantineManager.kt
@@ -101,7 +101,14 @@
 
     private fun check(process: TargetProcess) {
         val target = lostTargets[process] ?: return
+        val startedAt = scheduler.now()
         checkTarget(target) { isReachable ->
+            LogEvents.info("target-checked") {
+                "target" to process.target
+                "startedAt" to process.startedAtMillis
+                "reachable" to isReachable
+                "millis" to (scheduler.now() - startedAt).inWholeMilliseconds
+            }
             scheduler.execute { submit(QuarantineEvent.TargetChecked(process, isReachable)) }
         }
     }
