--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -253,6 +253,11 @@
             exchanges.state.retryBudgets.entries.associate { (service, budget) -> service.value to budget.tokens }
         }
         registerQueueGauges()
+        registerStoreGauges()
+        registerProcessGauges()
+    }
+
+    private fun registerStoreGauges() {
         metrics.registerGauge(
             name = "cicadaarch_store_revision",
             help = "The store's revision that is known, by prefix.",
@@ -267,6 +272,9 @@
         ) {
             prefixWatchers().mapValues { it.value.state.failures.toDouble() }
         }
+    }
+
+    private fun registerProcessGauges() {
         metrics.registerGauge(
             name = "cicadaarch_buffered_bytes",
             help = "Bytes that are buffered, by what they are part of.",
