Mend what the read-through of the whole change found

A process that replaces another under its id took over its capacity, its response times and its signs of life; huge stated token counts overflowed; refusals for other reasons than capacity counted as such; targets that warm up passed for free capacity; an abort of one response could disturb that of the next; kinds that no longer arrive distorted the mean that decides which kinds go first. Names and comments that needed a second reading are reworded. AdmissionControlTest, DispatchReducerTest and the other tests of these packages pass; a new row covers refusals for other reasons.

--- a/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairShares.kt
+++ b/cicadaarch-admission/src/main/kotlin/org/cicadaarch/admission/FairShares.kt
@@ -8,7 +8,8 @@
  * The accounting of start-time fair queuing (Goyal, Vin and Cheng, 1996): how far each account is ahead of its share.
  *
  * Work advances the finish tag of its account by the work divided by the account's weight. The account with the lowest
- * start tag is entitled to be served next. Tags up to [virtualTime] have no effect and are dropped.
+ * start tag is entitled to be served next. Tags up to [virtualTime] have no effect; they are
+ * dropped once there are more than [PRUNE_TAGS_ABOVE].
  */
 data class FairShares(
     private val finishTags: PersistentMap<AccountId, Double> = persistentMapOf(),
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AccountWeights.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AccountWeights.kt
@@ -13,7 +13,7 @@
     }
 
     private companion object {
-        /** No account may get less than a quarter of the mean share. */
+        /** Above the required quarter of the mean share, as not all that is sent is answered in time. */
         const val MIN_WEIGHT = 0.3
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionControl.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionControl.kt
@@ -20,14 +20,10 @@
         val phase = open.phase as? Queued ?: return null
         val estimate = WaitEstimator(state, now).estimate(open) ?: return null
         val repeated = state.admission.refused.of(open.request, now)?.takeIf { now < it.returnAt }
+        val maxWait = waitAllowed(open, phase) * MARGIN
         return when {
-            repeated != null -> NotRun(TOO_EARLY, retryAfter = repeated.returnAt - now, estimate)
-
-            estimate.wait > waitAllowed(
-                open,
-                phase,
-            ) * MARGIN -> NotRun(NOT_IN_TIME, retryAfter(open, estimate), estimate)
-
+            repeated != null -> notRun(TOO_EARLY, retryAfter = repeated.returnAt - now, estimate)
+            estimate.wait > maxWait -> notRun(NOT_IN_TIME, retryAfter(open, estimate), estimate)
             else -> null
         }
     }
@@ -35,9 +31,12 @@
     /** The refusal of [open], which has waited for as long as it may. */
     fun timedOut(open: OpenRequest): NotRun {
         val estimate = WaitEstimator(state, now).estimate(open)
-        return NotRun(NO_FREE_TARGET, retryAfter = estimate?.let { retryAfter(open, it) } ?: MIN_RETRY_AFTER, estimate)
+        return notRun(NO_FREE_TARGET, retryAfter = estimate?.let { retryAfter(open, it) } ?: MIN_RETRY_AFTER, estimate)
     }
 
+    private fun notRun(reason: String, retryAfter: Duration, estimate: WaitEstimate?) =
+        NotRun(reason, retryAfter, estimate, isForCapacity = true)
+
     private fun waitAllowed(open: OpenRequest, phase: Queued): Duration =
         minOf(RequestTimers.queueTimeoutAt(open, phase), open.deadline) - now
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/AdmissionState.kt
@@ -44,10 +44,11 @@
         }
     }
 
-    /** A copy that records [failure] of [open] if it was refused at [now] without any attempt. */
+    /** A copy that records [failure] of [open] if it was refused at [now] for want of capacity, without any attempt. */
     fun withFailure(open: OpenRequest, failure: RequestFailure, now: Timestamp): AdmissionState {
         val request = open.request
-        if (failure !is RequestFailure.NotRun || open.attempts > 0 || refused.of(request, now) != null) return this
+        if (failure !is RequestFailure.NotRun || !failure.isForCapacity || open.attempts > 0) return this
+        if (refused.of(request, now) != null) return this
         val refusal = RefusedRequest(
             service = request.service,
             priority = request.priority,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueAccounting.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueAccounting.kt
@@ -29,7 +29,10 @@
         }
     }
 
-    /** The accounts with a queued request for the service of [sent], including its own if there is another one. */
+    /**
+     * The accounts with a queued request for the service of [sent]; with any, also the account of [sent], since it
+     * competes with them.
+     */
     private fun waitingAccounts(state: DispatchState, sent: DispatchRequest) = state.queued
         .filter { it.request.service == sent.service && it.request.id != sent.id }
         .mapTo(HashSet()) { it.request.account ?: AdmissionState.ANONYMOUS }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueOrder.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueOrder.kt
@@ -99,16 +99,16 @@
     }
 
     private companion object {
-        /** No kind should be served less than a quarter of the mean; not all that is sent is answered in time. */
+        /** Above the required quarter of the mean, as not all that is sent is answered in time. */
         const val STARVED_RATIO = 0.35
 
-        /** The large requests of a kind should be served at least half as often as the kind. */
+        /** Above the required half, for the same reason. */
         const val STARVED_LARGE_RATIO = 0.7
 
         /** Requests of mean cost that an account may be ahead of its share, as they seldom come one by one. */
         const val BURST = 6.0
 
-        /** What an account of any weight may be ahead: so many requests of mean cost and weight. */
+        /** Lower bound of a turn, in requests of mean cost and weight 1. */
         const val MIN_TURN = 1.0
     }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueReport.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/QueueReport.kt
@@ -22,6 +22,7 @@
             .toMap()
     }
 
+    /** The services with a target or a queued request: a service that lost all targets still has a queue. */
     private fun servicesOf(state: DispatchState): Set<ServiceName> =
-        state.targets.values.mapTo(HashSet()) { it.entry.service }
+        state.targets.values.mapTo(HashSet()) { it.entry.service } + state.queued.map { it.request.service }
 }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/RefusedRequests.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/RefusedRequests.kt
@@ -7,8 +7,8 @@
 import org.cicadaarch.model.Timestamp
 
 /**
- * The latest requests that were refused and have not returned, by what is the same in all attempts of a client: the
- * account, the path and the body.
+ * The latest requests that were refused for want of capacity and have not returned, by account, path and body. Equal
+ * requests of several clients of an account are not told apart.
  */
 data class RefusedRequests(private val byTrait: PersistentMap<RequestTrait, RefusedRequest> = persistentMapOf()) {
     /** What is known of [request] from its refusal, or null if it was not refused lately. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServedRatio.kt
@@ -11,9 +11,12 @@
     private val sent: DecayingCount = DecayingCount(),
 ) {
     /** The ratio at [now], from 0 to 1; 1 if too few requests arrived to tell. */
-    fun at(now: Timestamp): Double {
+    fun at(now: Timestamp): Double = knownAt(now) ?: 1.0
+
+    /** The ratio at [now], from 0 to 1; null if too few requests arrived to tell. */
+    fun knownAt(now: Timestamp): Double? {
         val arrivedLately = arrived.at(now, MEMORY)
-        if (arrivedLately < MIN_ARRIVED) return 1.0
+        if (arrivedLately < MIN_ARRIVED) return null
         return (sent.at(now, MEMORY) / arrivedLately).coerceIn(0.0, 1.0)
     }
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/ServiceQueueRecord.kt
@@ -20,9 +20,11 @@
     val responses: ResponseRecord = ResponseRecord(),
     val meanPromptTokens: Double = 0.0,
 ) {
-    /** The mean over the kinds of the ratio of requests that were sent lately. */
-    fun meanServed(now: Timestamp): Double =
-        if (kinds.isEmpty()) 1.0 else kinds.values.sumOf { it.served.at(now) } / kinds.size
+    /** The mean, over the kinds that arrived lately, of the ratio of requests that were sent; 1 if none did. */
+    fun meanServed(now: Timestamp): Double {
+        val ratios = kinds.values.mapNotNull { it.served.knownAt(now) }
+        return if (ratios.isEmpty()) 1.0 else ratios.average()
+    }
 
     /** A copy with the record of [kind] after [change]. */
     fun withKind(kind: RequestKind, change: (KindRecord) -> KindRecord): ServiceQueueRecord {
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/TokenLimits.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/TokenLimits.kt
@@ -20,7 +20,7 @@
         return state.tokenLoads.at(target.entry).held + work.promptTokens + work.outputTokens <= cacheTokens
     }
 
-    /** Those of [targets] that have long prompts to read, which the request had better not wait for or add to. */
+    /** Those of [targets] with so many unread prompt tokens that the request is better sent elsewhere. */
     fun busyReading(targets: List<TargetState>): Set<TargetId> {
         if (cacheTokens == null || work == null) return emptySet()
         val isLong = work.promptTokens > meanPromptTokens * LONG_FACTOR
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/WaitEstimator.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/admission/WaitEstimator.kt
@@ -56,10 +56,14 @@
     private fun mayHaveFreeSlot(target: TargetState): Boolean {
         val entry = target.entry
         val isUsable = !entry.isDraining && !target.isEjected(now) && !state.evacuations.contains(entry.zone) &&
-            state.targetNotices.wantsRequests(entry, now)
+            state.targetNotices.wantsRequests(entry, now) && !isWarmingUp(target)
         return isUsable && target.load(now) + 1 <= entry.slots
     }
 
+    /** Whether the limit on targets that warm up keeps this router from using [target]. */
+    private fun isWarmingUp(target: TargetState): Boolean =
+        state.services[target.entry.service]?.warmUp != null && target.warmUp?.isActive(now) == true
+
     private fun slotsInUse(service: ServiceName): Int = targetsOf(service).sumOf { it.inFlight }
 
     private fun queued(service: ServiceName) = state.queued.filter { it.request.service == service }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/CapacityFilter.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/capacity/CapacityFilter.kt
@@ -37,7 +37,7 @@
     }
 
     private companion object {
-        /** Not for all attempts for which it takes part, a target is the least loaded one. */
+        /** Doubled, since a target is not the least loaded one in all attempts for which it is a candidate. */
         const val PLAIN_FACTOR = 2.0
         const val MULTIPLIER = 31
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/FirsthandTimes.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/FirsthandTimes.kt
@@ -47,7 +47,9 @@
             totals: Map<TargetId, RelativeTimes>,
             limited: Set<TargetId>,
         ): Set<TargetId> {
-            val means = ids.mapNotNull { id -> totals[id]?.let { it.total / it.samples } }.sorted()
+            val means = ids.mapNotNull { id ->
+                totals[id]?.takeIf { it.samples > 0 }?.let { it.total / it.samples }
+            }.sorted()
             val middle = means.getOrNull((means.size - 1) / 2) ?: return emptySet()
             return ids.filterTo(HashSet()) { id ->
                 id in limited || totals[id].let { it != null && it.total > it.samples * middle * LISTED_FACTOR }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/TimeSums.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/observation/TimeSums.kt
@@ -14,7 +14,7 @@
 internal object TimeSums {
     private const val NEGLIGIBLE = 0.02
 
-    /** Routers that merge are told of about equal parts, so what is further above their median is left out. */
+    /** Routers that merge receive about equal parts, so those of one count up to this multiple of the median. */
     private const val MAX_OVER_MEDIAN = 2.0
     private const val MIN_ROUTERS = 3
     private const val MIN_GROUP_SAMPLES = 0.3
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/CapacityObservations.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/CapacityObservations.kt
@@ -11,6 +11,7 @@
  * The state of the dispatch after something was learned of the capacity of a target.
  */
 internal object CapacityObservations {
+    private const val MIN_CLIENT_ERROR = 400
     private const val MIN_SERVER_ERROR = 500
 
     /** The weight of what a target states of itself: that holds only for the moment. */
@@ -18,7 +19,11 @@
 
     /** The state after the first part of a response arrived. */
     fun responseStarted(state: DispatchState, open: OpenRequest, attempt: InFlight, now: Timestamp): DispatchState =
-        if (open.hasResponseStarted) state else withResponse(state, open, attempt, now)
+        if (open.hasResponseStarted || !isCurrentProcess(state, attempt)) {
+            state
+        } else {
+            withResponse(state, open, attempt, now)
+        }
 
     /** The state after [attempt] ended with [result]. */
     fun attemptEnded(
@@ -28,6 +33,7 @@
         result: AttemptResult,
         now: Timestamp,
     ): DispatchState {
+        if (!isCurrentProcess(state, attempt)) return state
         val hasFailed = when (result) {
             is AttemptResult.Answered -> result.status >= MIN_SERVER_ERROR
             is AttemptResult.NotStarted -> result.isTargetAtFault
@@ -35,14 +41,17 @@
         }
         return when {
             hasFailed -> withTimes(state, attempt.target, RelativeTimes.sample(RelativeTimes.MAX_TIME), now)
-            result is AttemptResult.Answered -> responseStarted(state, open, attempt, now)
+
+            result is AttemptResult.Answered && result.status < MIN_CLIENT_ERROR ->
+                responseStarted(state, open, attempt, now)
+
             else -> state
         }
     }
 
     /** The state after [attempt] was cancelled: if it is late by then, that counts. */
     fun attemptCancelled(state: DispatchState, open: OpenRequest, attempt: InFlight, now: Timestamp): DispatchState {
-        if (open.hasResponseStarted) return state
+        if (open.hasResponseStarted || !isCurrentProcess(state, attempt)) return state
         val relativeTime = relativeTime(state, open, attempt, now)?.takeIf { it > 1.0 } ?: return state
         return withTimes(state, attempt.target, RelativeTimes.sample(relativeTime), now)
     }
@@ -53,6 +62,10 @@
         return withTimes(state, target, RelativeTimes.sample(stated, STATED_WEIGHT), now)
     }
 
+    /** Whether the process that got [attempt] still runs, as far as is known: its successor may be slow or not. */
+    private fun isCurrentProcess(state: DispatchState, attempt: InFlight): Boolean =
+        state.targets[attempt.target]?.entry?.isSameProcess(attempt.entry) == true
+
     private fun withResponse(
         state: DispatchState,
         open: OpenRequest,
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/DispatchTransition.kt
@@ -67,12 +67,12 @@
         val (open, inFlight) = currentAttempt(id, attempt) ?: return
         state = CapacityObservations.responseStarted(state, open, inFlight, now)
         putRequest(open.copy(hasResponseStarted = true))
-        updateTarget(inFlight.target) { it.withDataReceived(now) }
+        updateTarget(inFlight) { it.withDataReceived(now) }
     }
 
     fun dataReceived(id: ExchangeId, attempt: Int) {
         val (_, inFlight) = currentAttempt(id, attempt) ?: return
-        updateTarget(inFlight.target) { it.withDataReceived(now) }
+        updateTarget(inFlight) { it.withDataReceived(now) }
     }
 
     fun attemptEnded(id: ExchangeId, attempt: Int, result: AttemptResult) {
@@ -182,9 +182,8 @@
             alternative != null && (!result.reachedTarget || takeRetry(open.request.service)) ->
                 send(updated, alternative)
 
-            updated.hasResponseStarted -> fail(updated, RequestFailure.MayHaveRun(result.reason))
-
-            updated.possibleRuns > 0 -> fail(updated, RequestFailure.MayHaveRun(result.reason))
+            updated.hasResponseStarted || updated.possibleRuns > 0 ->
+                fail(updated, RequestFailure.MayHaveRun(result.reason))
 
             else -> refuse(updated, result.reason)
         }
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/FleetChanges.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/FleetChanges.kt
@@ -39,7 +39,8 @@
             val target = after ?: TargetState(entry, inFlight = attemptsAt(state, entry))
             targets = targets.put(entry.id, WarmUpChanges.seen(target, before, now))
         }
-        val capacities = state.capacities.retain(entries.mapTo(HashSet()) { it.id })
+        val unchanged = entries.filter { known[it.id]?.entry?.isSameProcess(it) == true }
+        val capacities = state.capacities.retain(unchanged.mapTo(HashSet()) { it.id })
         return state.copy(targets = targets, capacities = capacities)
     }
 
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestFailure.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestFailure.kt
@@ -11,10 +11,14 @@
 
     /**
      * The request did not run and will not run; the client may retry it after [retryAfter]. [estimate] is the wait by
-     * which that was decided, if any.
+     * which that was decided, if any. With [isForCapacity], targets had no room for it.
      */
-    data class NotRun(override val reason: String, val retryAfter: Duration, val estimate: WaitEstimate? = null) :
-        RequestFailure()
+    data class NotRun(
+        override val reason: String,
+        val retryAfter: Duration,
+        val estimate: WaitEstimate? = null,
+        val isForCapacity: Boolean = false,
+    ) : RequestFailure()
 
     /** The request may have run, but its response is lost. */
     data class MayHaveRun(override val reason: String) : RequestFailure()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestWork.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/request/RequestWork.kt
@@ -1,7 +1,7 @@
 package org.cicadaarch.dispatch.request
 
 /**
- * The work of a request to a model engine: [promptTokens] to read, as far as they are not cached, and at most
+ * The work of a request to a model engine: the [promptTokens] of the whole prompt, whether cached or not, and at most
  * [outputTokens] to generate.
  */
 data class RequestWork(val promptTokens: Int, val outputTokens: Int)
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/RateBound.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/RateBound.kt
@@ -15,9 +15,12 @@
     const val EXCESS_PROBABILITY = 1e-6
     private const val BISECTION_STEPS = 40
 
+    /** Bounds the work for a limit that is practically none. */
+    private const val MAX_LIMIT = 10_000.0
+
     /** The greatest mean number of requests in an interval that may get at most [limit]. */
     fun meanFor(limit: Double): Double {
-        val excess = floor(limit).toInt() + 1
+        val excess = floor(limit.coerceIn(0.0, MAX_LIMIT)).toInt() + 1
         val logFactorial = (1..excess).sumOf { ln(it.toDouble()) }
         var low = 0.0
         var high = excess.toDouble()
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/SendWindows.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/SendWindows.kt
@@ -42,7 +42,7 @@
         /** The interval over which the limit counts. */
         private val LIMIT_INTERVAL: Duration = 1.seconds
 
-        /** Long enough for a router that is short of capacity to have a request. */
+        /** Long enough that a router which is short of capacity has a request to send. */
         private val LENGTH: Duration = 250.milliseconds
 
         /** Keeps the arithmetic exact if the limit allows almost nothing. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/WarmUp.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/WarmUp.kt
@@ -23,7 +23,7 @@
     }
 
     companion object {
-        /** Routers may hear of the end of an evacuation sooner than that a target of the zone is warming up. */
+        /** A router may learn of the end of an evacuation before it learns that targets of the zone are warming up. */
         private val RETURN_DELAY = 2.seconds
 
         /** The warm-up of a target that is first seen with [entry] at [now]; null if it does not warm up. */
--- a/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/WarmUpRules.kt
+++ b/cicadaarch-dispatch/src/main/kotlin/org/cicadaarch/dispatch/warmup/WarmUpRules.kt
@@ -59,7 +59,7 @@
         const val FRACTION_BITS = 53
         const val UNIT = 1.0 / (1L shl FRACTION_BITS)
 
-        /** Seeds unlike that of the rendezvous hash, so that a target does not get the prompts it ranks first last. */
+        /** Not the seed of the rendezvous hash: the share of a target must be independent of its rank. */
         val RAMP_HASH: LongHashFunction = LongHashFunction.xx3(1)
         val PHASE_HASH: LongHashFunction = LongHashFunction.xx3(2)
     }
--- a/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/admission/AdmissionControlTest.kt
+++ b/cicadaarch-dispatch/src/test/kotlin/org/cicadaarch/dispatch/admission/AdmissionControlTest.kt
@@ -130,6 +130,14 @@
         assertEquals(first.inWholeMilliseconds - 10, second.retryAfter.inWholeMilliseconds)
     }
 
+    /** Guards against requests that are refused as too early after an evacuation or a quarantine has ended. */
+    @Test
+    fun `Given a request refused for another reason, when it is repeated, then it counts as new`() {
+        val evacuated = RequestFailure.NotRun("evacuated", retryAfter = 1.seconds)
+        val state = AdmissionState().withFailure(open(Timestamp(1_000)), evacuated, Timestamp(1_000))
+        assertEquals(AdmissionState(), state)
+    }
+
     /** Guards against a memory that grows with the refusals of a long overload. */
     @Test
     fun `Given many refusals, when one more is recorded, then the oldest is forgotten`() {
@@ -205,7 +213,7 @@
         /** Slots of both targets, and as many requests that the targets queue. */
         const val CAPACITY = 16
         const val QUEUE = 60
-        val NOT_RUN = RequestFailure.NotRun("no-free-target", retryAfter = 1.seconds)
+        val NOT_RUN = RequestFailure.NotRun("no-free-target", retryAfter = 1.seconds, isForCapacity = true)
         val REQUEST = DispatchRequest(
             id = ExchangeId(1),
             route = DispatchFixture.route(RetryPolicy.AT_MOST_ONCE),
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/ForwardingProcess.kt
@@ -219,11 +219,11 @@
         }
         metrics.registerGauge(
             name = "cicadaarch_target_capacity_age_seconds",
-            help = "Age of the capacities that the fleet tells; 0 if they are this router's own.",
+            help = "Age of the capacities that the fleet tells; absent if this router goes by its own.",
             label = "source",
         ) {
             val age = exchanges.state.capacities.age(NanoTimeClock.now())
-            mapOf((if (age == null) "own" else "fleet") to (age ?: Duration.ZERO).toDouble(DurationUnit.SECONDS))
+            listOfNotNull(age?.let { "fleet" to it.toDouble(DurationUnit.SECONDS) }).toMap()
         }
     }
 
@@ -297,7 +297,7 @@
                 "evacuated-zones" to exchanges.state.evacuations.zones.size.toDouble(),
                 "quarantine-rules" to quarantine.state.rules.size.toDouble(),
                 "crash-records" to quarantine.state.recordCount.toDouble(),
-                "unsent-responses" to backlogs.responseCount.toDouble(),
+                "unread-responses" to backlogs.responseCount.toDouble(),
                 "caller-connections" to clientListener.openConnections.toDouble(),
             )
         }
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogLimit.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogLimit.kt
@@ -11,10 +11,13 @@
     fun <K> responsesToAbort(backlogs: Map<K, ResponseBacklog>): List<K> {
         var excessBytes = backlogs.values.sumOf { it.unsentBytes } - maxBytes
         if (excessBytes <= 0) return emptyList()
-        return backlogs.entries
-            .sortedWith(LONGEST_UNREAD_FIRST)
-            .takeWhile { (_, backlog) -> (excessBytes > 0).also { excessBytes -= backlog.unsentBytes } }
-            .map { it.key }
+        val aborted = mutableListOf<K>()
+        for ((key, backlog) in backlogs.entries.sortedWith(LONGEST_UNREAD_FIRST)) {
+            if (excessBytes <= 0) break
+            aborted += key
+            excessBytes -= backlog.unsentBytes
+        }
+        return aborted
     }
 
     private companion object {
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/backlog/BacklogTracker.kt
@@ -63,7 +63,7 @@
     }
 
     private fun abort(owner: BacklogOwner) {
-        val backlog = backlogs.getValue(owner)
+        val backlog = backlogs[owner] ?: return
         LogEvents.info("response-aborted") {
             "request" to owner.requestId
             "unsentBytes" to backlog.unsentBytes
--- a/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/CapacityLog.kt
+++ b/cicadaarch-forwarding/src/main/kotlin/org/cicadaarch/forwarding/peer/CapacityLog.kt
@@ -7,22 +7,27 @@
 import org.cicadaarch.model.TargetId
 
 /**
- * Logs the capacity of a target when its share has doubled or halved, and when it has its full share again.
+ * Logs the capacity of a target when the binary logarithm of its share, rounded, changes, and when it has its full
+ * share again.
  */
 internal class CapacityLog {
     private var levels = emptyMap<TargetId, Int>()
 
-    /** Logs what [capacities], those of all targets with limited capacity, have changed since the last call. */
+    /**
+     * Logs what [capacities], those of all targets with limited capacity, have changed since it was logged. At most
+     * [MAX_LOGGED] are logged at once, the others in the next calls.
+     */
     fun update(capacities: Map<TargetId, TargetCapacity>) {
         val next = capacities.mapValues { log2(it.value.share).roundToInt() }
-        (levels.keys + next.keys).filter { levels[it] != next[it] }.take(MAX_LOGGED).forEach { target ->
+        val changed = (levels.keys + next.keys).filter { levels[it] != next[it] }.take(MAX_LOGGED)
+        changed.forEach { target ->
             LogEvents.info("target-capacity") {
                 "target" to target.value
                 "share" to rounded(capacities[target]?.share)
                 "relativeTime" to rounded(capacities[target]?.relativeTime)
             }
         }
-        levels = next
+        levels = (levels - changed.toSet()) + next.filterKeys { it in changed }
     }
 
     private fun rounded(value: Double?): Double = ((value ?: 1.0) * HUNDREDTHS).roundToInt() / HUNDREDTHS
