--- a/review/standin-2/GarbledHeads.java
+++ b/review/standin-2/GarbledHeads.java
@@ -163,6 +163,7 @@
             String id = String.format("%016x", nextId.getAndIncrement());
             boolean isUnsafe = nextId.get() % 2 == 0;
             requests.incrementAndGet();
+            record.line("sent " + id + " to " + router.name);
             try {
                 if (socket == null) {
                     socket = new Socket(Kit.LOOPBACK, router.clientPort);
@@ -177,6 +178,7 @@
                 if (text == null) throw new IOException("closed without an answer");
                 Kit.Head head = new Kit.Head(text);
                 byte[] body = Kit.readExactly(in, head.length());
+                record.line("answer to " + id + ": " + head.firstLine + ", " + body.length + " bytes");
                 check(id, text, head, body);
                 if ("close".equalsIgnoreCase(head.field("connection"))) {
                     socket.close();
@@ -201,7 +203,6 @@
             else if (!Arrays.equals(body, bodyOf(id))) fault = "a success with a body that is not the engine's";
         } else {
             failures.incrementAndGet();
-            record.line("answer to " + id + ": " + head.firstLine);
         }
         if (fault == null) return;
         violations.incrementAndGet();
--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -24,6 +25,7 @@
 /** Parts that the scripts of this review share: HTTP heads, the platform's store, router processes and the record. */
 final class Kit {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final Random RANDOM = new Random();
 
     private Kit() {}
 
@@ -93,10 +95,18 @@
         return socket;
     }
 
+    /** A free port below those that the system gives to outgoing connections, which might take it before the router does. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = listen()) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 100; i++) {
+            int port = 15_000 + RANDOM.nextInt(15_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(LOOPBACK, port));
+                return port;
+            } catch (IOException ignored) {
+                // In use.
+            }
         }
+        throw new IOException("found no free port");
     }
 
     static void sleep(long millis) {
@@ -140,6 +150,9 @@
         private long revision = 10;
         final int port;
 
+        /** Whether the store answers each call by 503, and takes no entries of engines. */
+        volatile boolean isDown;
+
         private static final class Change {
             final String key;
             final long revision;
@@ -168,6 +181,13 @@
             notifyAll();
         }
 
+        /** Writes for an engine, unless the store is down. Returns whether it was written. */
+        boolean tryPut(String key, String value) {
+            if (isDown) return false;
+            put(key, value);
+            return true;
+        }
+
         synchronized void remove(String key) {
             if (items.remove(key) == null) return;
             revision++;
@@ -183,7 +203,8 @@
                 if (text == null) return;
                 Head head = new Head(text);
                 String body = new String(readExactly(in, head.length()), StandardCharsets.UTF_8);
-                String[] answer = answer(head.path(), body);
+                String[] answer = isDown ? new String[] {"503", "{}"} : answer(head.path(), body);
+                if (isDown) answer = new String[] {"503", "{}"};
                 byte[] bytes = answer[1].getBytes(StandardCharsets.UTF_8);
                 sleep(4);
                 out.write(ascii("HTTP/1.1 " + answer[0] + " Answer\r\nContent-Type: application/json\r\nContent-Length: "
@@ -230,10 +251,10 @@
                     if (change.revision > after && change.key.startsWith(query.get("Prefix"))) events.add(change.json);
                 }
                 long left = (end - System.nanoTime()) / 1_000_000;
-                if (!events.isEmpty() || left <= 0) {
+                if (!events.isEmpty() || left <= 0 || isDown) {
                     return "{\"events\":[" + String.join(",", events) + "],\"At\":" + revision + "}";
                 }
-                wait(left);
+                wait(Math.min(left, 100));
             }
         }
 
@@ -321,7 +342,8 @@
                 + "\"Bounds\":{\"SeedLagS\":3,\"AddressReuseS\":2,\"ContactMs\":3000,\"AckTimeoutMs\":4000,\"CatchUpS\":4,"
                 + "\"DrainTimeoutMs\":2000,\"GracePeriodS\":8,\"LossSlackMs\":200,\"ConfigApplyMs\":2000,\"RollbackSlackMs\":250,"
                 + "\"OuterBoundMs\":5000,\"StrictRevocation\":false,\"RevocationMs\":5000,\"RetryBudgetRatio\":0.2,\"BudgetWindowS\":10,"
-                + "\"RetryBudgetSlack\":54,\"RecoveryS\":12,\"PassMs\":120,\"ReuseWindowS\":10,\"ImbalanceFactor\":2},"
+                + "\"RetryBudgetSlack\":54,\"RecoveryS\":12,\"PassMs\":120,\"ReuseWindowS\":10,\"ImbalanceFactor\":2,\"ColdOverrun\":1.5,"
+                + "\"ColdSlack\":5,\"EvacuationMs\":5000},"
                 + "\"Platform\":{\"Address\":\"127.0.0.1:" + store.port + "\",\"form\":\"kv\",\"WritesPerS\":400,\"ReadsPerS\":2000,"
                 + "\"HistoryS\":20,\"ValueBytes\":1048576,\"TtlMinMs\":1000}}");
         }
