--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -147,6 +147,7 @@
     static final class Store {
         private final TreeMap<String, String> items = new TreeMap<>();
         private final List<Change> log = new ArrayList<>();
+        private static final String[] UNAVAILABLE = {"503", "{}"};
         private long revision = 10;
         final int port;
 
@@ -165,10 +166,22 @@
             }
         }
 
+        /** An address of the store that turns callers away while it is shut, and serves those of other addresses. */
+        static final class Door {
+            int port;
+            volatile boolean isShut;
+        }
+
         Store() throws IOException {
+            port = openDoor().port;
+        }
+
+        Door openDoor() throws IOException {
             ServerSocket server = listen();
-            port = server.getLocalPort();
-            accept(server, this::serve);
+            Door door = new Door();
+            door.port = server.getLocalPort();
+            accept(server, socket -> serve(socket, door));
+            return door;
         }
 
         synchronized void put(String key, String value) {
@@ -195,7 +208,7 @@
             notifyAll();
         }
 
-        private void serve(Socket socket) throws Exception {
+        private void serve(Socket socket, Door door) throws Exception {
             InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
             while (true) {
@@ -203,8 +216,13 @@
                 if (text == null) return;
                 Head head = new Head(text);
                 String body = new String(readExactly(in, head.length()), StandardCharsets.UTF_8);
-                String[] answer = isDown ? new String[] {"503", "{}"} : answer(head.path(), body);
-                if (isDown) answer = new String[] {"503", "{}"};
+                boolean isShut = isDown || door.isShut;
+                String[] answer = isShut ? UNAVAILABLE : answer(head.path(), body, door);
+                if (isDown || door.isShut) {
+                    // A watch that was waiting is cut.
+                    if (!isShut) return;
+                    answer = UNAVAILABLE;
+                }
                 byte[] bytes = answer[1].getBytes(StandardCharsets.UTF_8);
                 sleep(4);
                 out.write(ascii("HTTP/1.1 " + answer[0] + " Answer\r\nContent-Type: application/json\r\nContent-Length: "
@@ -214,7 +232,7 @@
             }
         }
 
-        private synchronized String[] answer(String target, String body) throws Exception {
+        private synchronized String[] answer(String target, String body, Door door) throws Exception {
             String[] parts = target.split("\\?", 2);
             Map<String, String> query = query(parts.length > 1 ? parts[1] : "");
             switch (parts[0]) {
@@ -226,7 +244,7 @@
                     return new String[] {"200", "{\"Items\":[" + String.join(",", under(query.get("Prefix"))) + "],\"HasMore\":false,\"At\":"
                         + revision + "}"};
                 case "/kv-watch":
-                    return new String[] {"200", watch(query)};
+                    return new String[] {"200", watch(query, door)};
                 case "/kv-txn":
                     return transaction(body);
                 default:
@@ -242,7 +260,7 @@
             return found;
         }
 
-        private String watch(Map<String, String> query) throws InterruptedException {
+        private String watch(Map<String, String> query, Door door) throws InterruptedException {
             long after = Long.parseLong(query.get("After"));
             long end = System.nanoTime() + Long.parseLong(query.get("WaitMs")) * 1_000_000;
             while (true) {
@@ -251,10 +269,10 @@
                     if (change.revision > after && change.key.startsWith(query.get("Prefix"))) events.add(change.json);
                 }
                 long left = (end - System.nanoTime()) / 1_000_000;
-                if (!events.isEmpty() || left <= 0 || isDown) {
+                if (!events.isEmpty() || left <= 0 || isDown || door.isShut) {
                     return "{\"events\":[" + String.join(",", events) + "],\"At\":" + revision + "}";
                 }
-                wait(Math.min(left, 100));
+                wait(Math.min(left, 20));
             }
         }
 
@@ -322,6 +340,10 @@
         Process process;
 
         Router(String name, Path folder, Store store, List<Integer> seeds, int peerPort) throws IOException {
+            this(name, folder, store.port, seeds, peerPort);
+        }
+
+        Router(String name, Path folder, int storePort, List<Integer> seeds, int peerPort) throws IOException {
             this.name = name;
             this.clientPort = freePort();
             this.readyPort = freePort();
@@ -344,7 +366,7 @@
                 + "\"OuterBoundMs\":5000,\"StrictRevocation\":false,\"RevocationMs\":5000,\"RetryBudgetRatio\":0.2,\"BudgetWindowS\":10,"
                 + "\"RetryBudgetSlack\":54,\"RecoveryS\":12,\"PassMs\":120,\"ReuseWindowS\":10,\"ImbalanceFactor\":2,\"ColdOverrun\":1.5,"
                 + "\"ColdSlack\":5,\"EvacuationMs\":5000},"
-                + "\"Platform\":{\"Address\":\"127.0.0.1:" + store.port + "\",\"form\":\"kv\",\"WritesPerS\":400,\"ReadsPerS\":2000,"
+                + "\"Platform\":{\"Address\":\"127.0.0.1:" + storePort + "\",\"form\":\"kv\",\"WritesPerS\":400,\"ReadsPerS\":2000,"
                 + "\"HistoryS\":20,\"ValueBytes\":1048576,\"TtlMinMs\":1000}}");
         }
 
