--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -15,8 +15,9 @@
 
 /**
  * Two routers, four engines and clients with unsafe requests. Two of the engines break off one of fifty answers inside its
- * head and write their latest refusal once more after it. Checks that no request runs twice, and that none is refused as
- * not run that has run. The argument is the case's folder.
+ * head and write, in turn, their latest refusal or their latest complete answer once more after it. Checks that no request
+ * runs twice, that none is refused as not run that has run, and that no client gets the answer to another request. The
+ * argument is the case's folder.
  */
 final class TornAnswer {
     private static final int SECONDS = 25;
@@ -33,6 +34,7 @@
     private final AtomicInteger successes = new AtomicInteger();
     private final AtomicInteger torn = new AtomicInteger();
     private final AtomicInteger refusedAfterRun = new AtomicInteger();
+    private final AtomicInteger foreign = new AtomicInteger();
     private final AtomicLong nextId = new AtomicLong(1);
 
     private TornAnswer(Kit.Record record) {
@@ -86,11 +88,11 @@
             record.line("TWICE " + entry.getKey() + " ran " + entry.getValue() + " times");
         }
         String summary = "requests " + requests + ", successes " + successes + ", answers torn " + torn + ", requests that ran twice "
-            + twice + ", refused as not run that had run " + refusedAfterRun;
+            + twice + ", refused as not run that had run " + refusedAfterRun + ", clients that got the answer to another request " + foreign;
         record.line(summary);
         System.out.println(summary);
         if (successes.get() == 0) return 2;
-        return twice + refusedAfterRun.get() > 0 ? 1 : 0;
+        return twice + refusedAfterRun.get() + foreign.get() > 0 ? 1 : 0;
     }
 
     private final class Engine {
@@ -99,6 +101,7 @@
         private final AtomicInteger arrivals = new AtomicInteger();
         private final AtomicInteger answers = new AtomicInteger();
         private volatile String latestRefusal;
+        private volatile String latestAnswer;
 
         Engine(String name, boolean isFaulty) {
             this.name = name;
@@ -133,20 +136,27 @@
             runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
             Kit.sleep(15);
             String answerHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
-                + "Content-Type: application/json\r\nContent-Length: 8\r\n\r\n";
+                + "Content-Type: application/json\r\nContent-Length: " + bodyOf(id).length() + "\r\n\r\n";
             boolean isTorn = TROUBLE && isFaulty && answers.incrementAndGet() % TORN_OF == 0 && latestRefusal != null;
-            return isTorn ? torn(answerHead, id) : answerHead + "reserved";
+            if (isTorn) return torn(answerHead, id);
+            latestAnswer = answerHead + bodyOf(id);
+            return latestAnswer;
         }
 
-        /** The start of [answerHead], each time up to another place, and the latest refusal. */
+        /** The start of [answerHead], each time up to another place, and what was sent before. */
         private String torn(String answerHead, String id) {
             int end = answerHead.indexOf("\r\n\r\n");
-            String text = answerHead.substring(0, 1 + torn.getAndIncrement() * 11 % (end - 1)) + latestRefusal;
+            int number = torn.getAndIncrement();
+            String text = answerHead.substring(0, 1 + number / 2 * 11 % (end - 1)) + (number % 2 == 0 ? latestRefusal : latestAnswer);
             record.line("torn answer to " + id + " at " + name + ": " + Kit.shown(Kit.ascii(text), 400));
             return text;
         }
     }
 
+    private static String bodyOf(String id) {
+        return "reserved for " + id;
+    }
+
     private void send(Kit.Router router, long end) {
         Socket socket = null;
         while (System.nanoTime() < end) {
@@ -165,10 +175,14 @@
                 String text = Kit.readHead(in);
                 if (text == null) throw new IOException("closed without an answer");
                 Kit.Head head = new Kit.Head(text);
-                Kit.readExactly(in, head.length());
-                record.line("answer to " + id + ": " + head.firstLine);
+                String body = new String(Kit.readExactly(in, head.length()));
+                record.line("answer to " + id + ": " + head.firstLine + ", " + body);
                 String status = head.firstLine.split(" ")[1];
                 if (status.equals("200")) successes.incrementAndGet();
+                if (status.equals("200") && !body.equals(bodyOf(id))) {
+                    foreign.incrementAndGet();
+                    record.line("MIXED " + id + " got: " + body);
+                }
                 if (status.equals("503") && runs.containsKey(id)) {
                     refusedAfterRun.incrementAndGet();
                     record.line("REFUSED " + id + " has run");
