--- a/review/standin-2/GarbledHeads.java
+++ b/review/standin-2/GarbledHeads.java
@@ -48,7 +48,7 @@
         List<Kit.Router> routers = new ArrayList<>();
         try (Kit.Record record = new Kit.Record(Path.of(arguments[0], "record.txt"))) {
             result = new GarbledHeads(arguments[1], record).run(work, routers);
-        } catch (IOException exception) {
+        } catch (Exception exception) {
             System.err.println("the case could not run: " + exception);
         } finally {
             for (Kit.Router router : routers) if (router.process != null) router.process.destroyForcibly().waitFor();
--- a/review/standin-2/StaleEngine.java
+++ b/review/standin-2/StaleEngine.java
@@ -57,7 +57,7 @@
         List<Kit.Router> routers = new ArrayList<>();
         try (Kit.Record record = new Kit.Record(Path.of(arguments[0], "record.txt"))) {
             result = new StaleEngine(record).run(work, routers);
-        } catch (IOException exception) {
+        } catch (Exception exception) {
             System.err.println("the case could not run: " + exception);
         } finally {
             for (Kit.Router router : routers) if (router.process != null) router.process.destroyForcibly().waitFor();
