--- a/review/standin-2/ColdAgain.java
+++ b/review/standin-2/ColdAgain.java
@@ -239,6 +239,11 @@
         }
 
         private void answer(OutputStream out, Kit.Head head) throws IOException {
+            String health = Kit.health(head, id, Math.max(0, coldUntil == 0 ? 0 : (coldUntil - System.nanoTime()) / 1_000_000));
+            if (health != null) {
+                out.write(Kit.ascii(health));
+                return;
+            }
             String request = head.field("x-attempt-id");
             if (!id.equals(head.field("x-expect-instance"))) {
                 out.write(Kit.ascii("HTTP/1.1 421 Other Engine\r\nX-Attempt-Id: " + request
--- a/review/standin-2/GarbledHeads.java
+++ b/review/standin-2/GarbledHeads.java
@@ -110,6 +110,11 @@
             if (text == null) return;
             Kit.Head head = new Kit.Head(text);
             Kit.readExactly(in, head.length());
+            String health = Kit.health(head, name, 0);
+            if (health != null) {
+                out.write(Kit.ascii(health));
+                continue;
+            }
             String id = head.field("x-attempt-id");
             if (!name.equals(head.field("x-expect-instance"))) {
                 out.write(Kit.ascii("HTTP/1.1 421 Other Engine\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
@@ -120,7 +125,7 @@
             boolean isLast = answers.incrementAndGet() % SPOILED_OF == 0;
             byte[] answerHead = Kit.ascii("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
                 + (isLast ? "Connection: close\r\n" : "") + "Transfer-Encoding: chunked\r\n\r\n");
-            if (TROUBLE && isFaulty && isLast) spoil(answerHead, id);
+            if (TROUBLE && isFaulty && isLast && Kit.isDisturbed()) spoil(answerHead, id);
             byte[] body = bodyOf(id);
             ByteArrayOutputStream answer = new ByteArrayOutputStream();
             answer.write(answerHead);
--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -122,6 +122,8 @@
         }
 
         private String answer(Kit.Head head) {
+            String health = Kit.health(head, name, 0);
+            if (health != null) return health;
             String id = head.field("x-attempt-id");
             if (!name.equals(head.field("x-expect-instance"))) {
                 return "HTTP/1.1 421 Other Engine\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -137,7 +139,8 @@
             Kit.sleep(15);
             String answerHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
                 + "Content-Type: application/json\r\nContent-Length: " + bodyOf(id).length() + "\r\n\r\n";
-            boolean isTorn = TROUBLE && isFaulty && answers.incrementAndGet() % TORN_OF == 0 && latestRefusal != null;
+            boolean isTorn = TROUBLE && isFaulty && answers.incrementAndGet() % TORN_OF == 0 && latestRefusal != null
+                && Kit.isDisturbed();
             if (isTorn) return torn(answerHead, id);
             latestAnswer = answerHead + bodyOf(id);
             return latestAnswer;
