--- a/review/standin-3/Stage.java
+++ b/review/standin-3/Stage.java
@@ -82,6 +82,7 @@
         /** HistoryS of the settings: older changes are no longer available to watches. */
         private static final long HISTORY_MILLIS = 20_000;
         private static final int PAGE = 500;
+        private static final int BUFFER_BYTES = 65_536;
         private final TreeMap<String, Item> items = new TreeMap<>();
         private final ArrayDeque<Item> history = new ArrayDeque<>();
         private long revision = 10;
@@ -106,7 +107,7 @@
         synchronized long put(String key, String value) {
             revision += 1;
             Item before = items.get(key);
-            Item item = new Item(key, value, revision, before == null ? revision : before.created, millis());
+            Item item = new Item(key, value, revision, before == null ? revision : before.created);
             if (value == null) items.remove(key); else items.put(key, item);
             history.addLast(item);
             notifyAll();
@@ -128,11 +129,14 @@
                     case "/kv-txn" -> transaction(body);
                     default -> new Reply(404, "{}");
                 };
-                byte[] bytes = reply.body.getBytes(StandardCharsets.UTF_8);
                 sleep(answerMillis);
                 exchange.getResponseHeaders().set("Content-Type", "application/json");
-                exchange.sendResponseHeaders(reply.status, bytes.length);
-                exchange.getResponseBody().write(bytes);
+                exchange.sendResponseHeaders(reply.status, reply.parts.stream().mapToLong(it -> it.length).sum());
+                for (byte[] part : reply.parts) {
+                    for (int from = 0; from < part.length; from += BUFFER_BYTES) {
+                        exchange.getResponseBody().write(part, from, Math.min(BUFFER_BYTES, part.length - from));
+                    }
+                }
             } catch (IOException exception) {
                 // The router closed the connection.
             }
@@ -153,21 +157,21 @@
         private synchronized Reply range(Map<String, String> query) {
             String prefix = query.getOrDefault("Prefix", "");
             String after = query.getOrDefault("After", "");
-            List<String> page = new ArrayList<>();
+            List<byte[]> page = new ArrayList<>();
             boolean hasMore = false;
             for (Item item : items.tailMap(prefix, true).values()) {
                 if (!item.key.startsWith(prefix)) break;
                 if (item.key.compareTo(after) <= 0) continue;
                 hasMore = page.size() == PAGE;
                 if (hasMore) break;
-                page.add(item.json());
+                page.add(item.json);
             }
-            return new Reply(200, "{\"Items\":[" + String.join(",", page) + "],\"HasMore\":" + hasMore + ",\"At\":" + revision + "}");
+            return Reply.ofList("{\"Items\":[", page, "],\"HasMore\":" + hasMore + ",\"At\":" + revision + "}");
         }
 
         private synchronized Reply key(Map<String, String> query) {
             Item item = items.get(query.getOrDefault("Key", ""));
-            return item == null ? new Reply(404, "{}") : new Reply(200, item.json().replaceFirst("\\}$", ",\"At\":" + revision + "}"));
+            return item == null ? new Reply(404, "{}") : new Reply(200, new String(item.json, StandardCharsets.UTF_8).replaceFirst("\\}$", ",\"At\":" + revision + "}"));
         }
 
         private synchronized Reply watch(Map<String, String> query) {
@@ -179,13 +183,13 @@
                     discardedUpTo = history.removeFirst().revision;
                 }
                 if (after < discardedUpTo) return new Reply(410, "{}");
-                List<String> events = new ArrayList<>();
+                List<byte[]> events = new ArrayList<>();
                 for (Item item : history) {
-                    if (item.revision > after && item.key.startsWith(prefix)) events.add(item.json());
+                    if (item.revision > after && item.key.startsWith(prefix)) events.add(item.json);
                 }
                 long left = end - millis();
                 if (!events.isEmpty() || left <= 0) {
-                    return new Reply(200, "{\"events\":[" + String.join(",", events) + "],\"At\":" + revision + "}");
+                    return Reply.ofList("{\"events\":[", events, "],\"At\":" + revision + "}");
                 }
                 try {
                     wait(left);
@@ -204,7 +208,7 @@
             while (conditions.find()) {
                 Item item = items.get(conditions.group(1));
                 if ((item == null ? 0 : item.revision) != Long.parseLong(conditions.group(2))) {
-                    return new Reply(412, "{\"Items\":[" + (item == null ? "" : item.json()) + "]}");
+                    return new Reply(412, "{\"Items\":[" + (item == null ? "" : new String(item.json, StandardCharsets.UTF_8)) + "]}");
                 }
             }
             Matcher puts = PUT.matcher(body);
@@ -218,10 +222,43 @@
             return new Reply(200, "{\"Revision\":" + revision + "}");
         }
 
-        private record Reply(int status, String body) {}
+        /** An answer whose body consists of [parts]. */
+        private record Reply(int status, List<byte[]> parts) {
+            Reply(int status, String body) {
+                this(status, List.of(body.getBytes(StandardCharsets.UTF_8)));
+            }
+
+            /** The [elements] with commas between them, after [start] and before [end]. */
+            static Reply ofList(String start, List<byte[]> elements, String end) {
+                List<byte[]> parts = new ArrayList<>();
+                parts.add(start.getBytes(StandardCharsets.UTF_8));
+                for (byte[] element : elements) {
+                    if (parts.size() > 1) parts.add(new byte[] {','});
+                    parts.add(element);
+                }
+                parts.add(end.getBytes(StandardCharsets.UTF_8));
+                return new Reply(200, parts);
+            }
+        }
+
+        /** A key as it was written, or as it was removed if [value] is null. */
+        private static final class Item {
+            final String key;
+            final String value;
+            final long revision;
+            final long created;
+            final long writtenAt = millis();
+            final byte[] json;
+
+            Item(String key, String value, long revision, long created) {
+                this.key = key;
+                this.value = value;
+                this.revision = revision;
+                this.created = created;
+                json = text().getBytes(StandardCharsets.UTF_8);
+            }
 
-        private record Item(String key, String value, long revision, long created, long writtenAt) {
-            String json() {
+            private String text() {
                 if (value == null) return "{\"Key\":\"" + key + "\",\"Revision\":" + revision + ",\"IsDeleted\":true}";
                 String encoded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
                 return "{\"Key\":\"" + key + "\",\"Value\":\"" + encoded + "\",\"Revision\":" + revision +
