--- a/review/standin-3/CrashingRequests.java
+++ b/review/standin-3/CrashingRequests.java
@@ -17,8 +17,11 @@
  * Requests that crash each engine which runs them, and come again with the same path, key and body, beside chats of
  * other clients. Counts how often each of them reaches engines later than ContactMs after it has crashed its third one.
  *
- * Arguments: the repository, a work folder, the record's file, the number of such requests, the milliseconds that an
- * engine runs one of them before it crashes, the seconds to run, and 0 if they shall crash nothing.
+ * An engine crashes as soon as it has begun to run one of them and has sent its first event: it sends nothing more, and
+ * its connections are reset once the process is gone.
+ *
+ * Arguments: the repository, a work folder, the record's file, the number of such requests, the milliseconds from the
+ * crash of an engine until its process is gone, the seconds to run, and 0 if they shall crash nothing.
  */
 public final class CrashingRequests {
     private static final int ROUTERS = 3;
@@ -48,13 +51,13 @@
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger brokenOff = new AtomicInteger();
     private final int crashingRequests;
-    private final int runMillis;
+    private final int goneMillis;
     private final boolean isTrouble;
     private volatile boolean isOver;
 
-    private CrashingRequests(int crashingRequests, int runMillis, boolean isTrouble) throws IOException {
+    private CrashingRequests(int crashingRequests, int goneMillis, boolean isTrouble) throws IOException {
         this.crashingRequests = crashingRequests;
-        this.runMillis = runMillis;
+        this.goneMillis = goneMillis;
         this.isTrouble = isTrouble;
     }
 
@@ -228,6 +231,9 @@
         private final AtomicInteger running = new AtomicInteger();
         private volatile String id;
         private volatile boolean isUp;
+
+        /** Whether the process has crashed and isn't gone yet: it sends nothing more. */
+        private volatile boolean isSilent;
         private ServerSocket server;
         private long born;
         private long sequence;
@@ -241,6 +247,7 @@
             born = System.currentTimeMillis();
             sequence = 0;
             running.set(0);
+            isSilent = false;
             server = new ServerSocket();
             server.bind(new InetSocketAddress(Stage.LOOPBACK, 0), 256);
             isUp = true;
@@ -251,23 +258,34 @@
         }
 
         synchronized void write() {
-            if (!isUp) return;
+            if (!isUp || isSilent) return;
             sequence += 1;
             store.put("servers/" + id, "{\"Service\":\"desk-model\",\"Address\":\"127.0.0.1:" + server.getLocalPort() +
                 "\",\"Zone\":\"wm-a\",\"Version\":\"v1\",\"Slots\":" + SLOTS + ",\"State\":\"ready\",\"ColdRemainingMs\":0," +
                 "\"Sequence\":" + sequence + ",\"born\":" + born + "}");
         }
 
-        /** The process ends with its listener and all its connections, and starts again some seconds later. */
-        private synchronized void crash(String incarnation, String reason) {
-            if (!isUp || !incarnation.equals(id)) return;
+        /** The process crashes: it falls silent, and ends with its listener and all its connections. */
+        private void crash(String incarnation, String crashing, String requestId) {
+            synchronized (this) {
+                if (!isUp || isSilent || !incarnation.equals(id)) return;
+                isSilent = true;
+            }
+            Stage.record(crashing + " as " + requestId + " crashes " + incarnation + ", which runs " + running + " requests");
+            Stage.sleep(goneMillis);
+            listOf(crashes, crashing).add(Stage.millis());
+            end(incarnation);
+        }
+
+        /** The process is gone; a new one starts some seconds later. */
+        private synchronized void end(String incarnation) {
             isUp = false;
             try {
                 server.close();
             } catch (IOException exception) {
                 throw new IllegalStateException(exception);
             }
-            Stage.record(reason + " crashes " + incarnation + ", which ran " + running + " requests");
+            Stage.record(incarnation + " is gone");
             links.forEach(Stage.Link::reset);
             links.clear();
             Stage.daemon(() -> {
@@ -306,13 +324,16 @@
             } catch (IOException exception) {
                 // The router closed the connection, or this engine has crashed.
             } finally {
-                links.remove(link);
-                close(link);
+                if (!isSilent) {
+                    links.remove(link);
+                    close(link);
+                }
             }
         }
 
         private void respond(Stage.Link link, Stage.Head head, String body, String incarnation) throws IOException {
             String requestId = head.field("x-attempt-id");
+            if (isSilent) throw new IOException("crashed");
             if (!incarnation.equals(head.field("x-expect-instance"))) {
                 link.send("HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: " + requestId +
                     "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -333,29 +354,24 @@
 
         /** Runs a request; one that crashes this engine has the body [crashing], null for any other. */
         private void run(Stage.Link link, String requestId, int load, String crashing, String incarnation) throws IOException {
-            long startedAt = Stage.millis();
-            if (crashing != null && runMillis < EVENT_INTERVAL_MILLIS) {
-                Stage.sleep(runMillis);
-                crashBy(crashing, requestId, incarnation);
-                return;
-            }
-            link.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + requestId + "\r\nX-Response-Seal: s\r\nX-Server-Load: " + load +
+            send(link, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + requestId + "\r\nX-Response-Seal: s\r\nX-Server-Load: " + load +
                 ",0," + SLOTS + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
             for (int i = 1; i <= EVENTS; i++) {
                 String event = "id: " + i + "\ndata: " + requestId + "\n\n";
-                link.send(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-                if (crashing != null && Stage.millis() - startedAt >= runMillis) {
-                    crashBy(crashing, requestId, incarnation);
+                send(link, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+                if (crashing != null) {
+                    crash(incarnation, crashing, requestId);
                     return;
                 }
                 Stage.sleep(EVENT_INTERVAL_MILLIS);
             }
-            link.send("0\r\n\r\n");
+            send(link, "0\r\n\r\n");
         }
 
-        private void crashBy(String crashing, String requestId, String incarnation) {
-            listOf(crashes, crashing).add(Stage.millis());
-            crash(incarnation, crashing + " as " + requestId);
+        /** Sends [text], or nothing if the process has crashed. */
+        private void send(Stage.Link link, String text) throws IOException {
+            if (isSilent) throw new IOException("crashed");
+            link.send(text);
         }
     }
 }
