--- a/review/standin-3/ConfigurationBurst.java
+++ b/review/standin-3/ConfigurationBurst.java
@@ -22,7 +22,7 @@
     private static final int CONTACT_MILLIS = 3_000;
 
     /** How long the store is slow. */
-    private static final int SLOW_MILLIS = 4_500;
+    private static final int SLOW_MILLIS = 5_000;
     private static final int USUAL_MILLIS = 4;
     private static final String KEPT_KEY = "kept-key-0123456789a";
     private static final String DROPPED_KEY = "dropped-key-01234567";
@@ -73,6 +73,8 @@
             Stage.record("before the burst, " + router.name + ": dropped key " + probe(router, "/old/x", DROPPED_KEY) +
                 ", added route " + probe(router, "/added/x", KEPT_KEY));
         }
+        List<String> versions = new ArrayList<>();
+        for (int i = 1; i <= changes; i++) versions.add(configuration(100_000 + 2L * i, routes, i == changes));
         if (slowMillis > 0) {
             store.answerMillis = slowMillis;
             Stage.record("the store's answers take " + slowMillis + " ms from now on");
@@ -85,11 +87,10 @@
             Stage.sleep(1_000);
         }
         for (int i = 1; i <= changes; i++) {
-            boolean isLast = i == changes;
-            String text = configuration(100_000 + 2L * i, routes, isLast);
+            String text = versions.get(i - 1);
             store.put("op/config", text);
             Stage.record("change " + i + " acknowledged, " + text.length() + " bytes");
-            if (!isLast) Stage.sleep(gapMillis);
+            if (i < changes) Stage.sleep(gapMillis);
         }
         long acknowledgedAt = Stage.millis();
         while (Stage.millis() < acknowledgedAt + watchMillis) {
