--- a/review/12/CrashingCopiesCase.java
+++ b/review/standin-4/CrashingCopies.java
@@ -20,7 +20,7 @@
  *
  * Arguments: the file of the record, and whether the request crashes engines (1) or runs like any other (0).
  */
-public final class CrashingCopiesCase {
+public final class CrashingCopies {
     private static final int ROUTERS = 7;
     private static final int ENGINES = 13;
     private static final int COPIES = 4;
@@ -63,7 +63,7 @@
     });
     private volatile boolean isEnded;
 
-    private CrashingCopiesCase(Record record, boolean isCrashing) throws IOException {
+    private CrashingCopies(Record record, boolean isCrashing) throws IOException {
         this.record = record;
         this.isCrashing = isCrashing;
     }
@@ -72,7 +72,7 @@
         int code = 2;
         try (Record record = new Record(Path.of(arguments[0]))) {
             try {
-                code = new CrashingCopiesCase(record, arguments[1].equals("1")).play();
+                code = new CrashingCopies(record, arguments[1].equals("1")).play();
             } catch (Exception exception) {
                 record.conclude("could not run: " + exception);
             }
--- a/review/13/CrashingPairCase.java
+++ b/review/standin-4/CrashingPair.java
@@ -18,7 +18,7 @@
  *
  * Arguments: the file of the record, and whether the request crashes engines (1) or runs like any other (0).
  */
-public final class CrashingPairCase {
+public final class CrashingPair {
     private static final int ROUTERS = 7;
     private static final int ENGINES = 13;
     private static final int TIMES = 9;
@@ -66,7 +66,7 @@
     });
     private volatile boolean isEnded;
 
-    private CrashingPairCase(Record record, boolean isCrashing) throws IOException {
+    private CrashingPair(Record record, boolean isCrashing) throws IOException {
         this.record = record;
         this.isCrashing = isCrashing;
     }
@@ -75,7 +75,7 @@
         int code = 2;
         try (Record record = new Record(Path.of(arguments[0]))) {
             try {
-                code = new CrashingPairCase(record, arguments[1].equals("1")).play();
+                code = new CrashingPair(record, arguments[1].equals("1")).play();
             } catch (Exception exception) {
                 record.conclude("could not run: " + exception);
             }
--- a/review/rig/EngineStandIn.java
+++ b/review/standin-4/EngineStandIn.java
@@ -15,6 +15,8 @@
     static final int SLOTS = 64;
     static final long HEARTBEAT_MILLIS = 1_200;
     private static final long RUN_MILLIS = 30;
+    private static final String STAGE_AND_MODELS =
+        "\"Stage\":\"colocated\",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],";
 
     final String id;
     private final String service;
@@ -23,6 +25,7 @@
     private final long startedAt = System.currentTimeMillis();
     private final AtomicInteger running = new AtomicInteger();
     private volatile boolean beats = true;
+    private String state = "ready";
     private long sequence;
 
     EngineStandIn(String id, String service, String zone, StoreStandIn store) throws IOException {
@@ -38,6 +41,26 @@
         startThread(this::beat);
     }
 
+    /** Says in the engine's entry that it is about to leave; it goes on to serve. */
+    synchronized void drain() {
+        state = "draining";
+        writeEntry();
+    }
+
+    /** Ends the process as planned: its entry is removed, and what it still runs is cut off. */
+    void leave() throws IOException {
+        beats = false;
+        store.put("servers/" + id, null);
+        shut();
+    }
+
+    /** The entry in its present state, with [sequence] and [stageAndModels], which holds those two fields. */
+    final String entry(long sequence, String stageAndModels) {
+        return "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port() + "\",\"Zone\":\"" + zone
+            + "\",\"Version\":\"v1\",\"Slots\":" + SLOTS + ",\"State\":\"" + state
+            + "\",\"ColdRemainingMs\":0," + stageAndModels + "\"Sequence\":" + sequence + ",\"born\":" + startedAt + "}";
+    }
+
     /** Ends the process without a word, as a crash does. */
     void crash() throws IOException {
         beats = false;
@@ -106,12 +129,14 @@
         output.flush();
     }
 
+    private synchronized void writeEntry() {
+        sequence += 1;
+        if (beats) store.put("servers/" + id, entry(sequence, STAGE_AND_MODELS));
+    }
+
     private void beat() {
         while (beats) {
-            sequence += 1;
-            store.put("servers/" + id, "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port()
-                + "\",\"Zone\":\"" + zone + "\",\"Version\":\"v1\",\"Slots\":" + SLOTS
-                + ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":" + sequence + ",\"born\":" + startedAt + "}");
+            writeEntry();
             try {
                 TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
             } catch (InterruptedException ended) {
--- a/review/14/OddEntryCase.java
+++ b/review/standin-4/OddEntries.java
@@ -12,7 +12,7 @@
  *
  * Arguments: the file of the record, and whether the other writer writes (1) or not (0).
  */
-public final class OddEntryCase {
+public final class OddEntries {
     private static final int ROUTERS = 7;
     private static final int ENGINES_OF_EACH_SERVICE = 3;
     private static final int REQUESTS = 42;
@@ -37,7 +37,7 @@
     private final List<EngineStandIn> ledgerEngines = new ArrayList<>();
     private int sent;
 
-    private OddEntryCase(Record record) throws IOException {
+    private OddEntries(Record record) throws IOException {
         this.record = record;
     }
 
@@ -45,7 +45,7 @@
         int code = 2;
         try (Record record = new Record(Path.of(arguments[0]))) {
             try {
-                code = new OddEntryCase(record).play(arguments[1].equals("1"));
+                code = new OddEntries(record).play(arguments[1].equals("1"));
             } catch (Exception exception) {
                 record.conclude("could not run: " + exception);
             }
